--- /dev/null
+++ b/src/libbase/http_client.h
@@ -0,0 +1,76 @@
+#ifndef CAMPHORHOIST_LIBBASE_HTTP_CLIENT_H_
+#define CAMPHORHOIST_LIBBASE_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+#include "camphorhoist/net_address.h"
+#include "libbase/event_ptr.h"
+
+namespace camphorhoist {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+struct HttpRequest {
+  std::string method = "GET";
+  std::string target = "/";
+  HttpHeaders headers;
+  std::string body;
+};
+
+/// Result of a request. `error` is `Errc::kUnavailable` when nothing was sent and
+/// `Errc::kUnknownEffect` when the request may have reached the server but no whole answer came.
+struct HttpResponse {
+  std::error_code error;
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+
+  /// Value of the first header with this name (case-insensitive), or an empty string.
+  std::string Header(const std::string& name) const;
+};
+
+/// Asynchronous HTTP/1.1 client for control traffic, with whole bodies. Keeps idle connections for
+/// reuse.
+///
+/// Thread safety: none; use on the thread of the event loop. Callbacks run on that thread, never
+/// from inside `Send`. After destruction no callback runs.
+class HttpClient {
+ public:
+  using Callback = std::function<void(HttpResponse)>;
+
+  /// Precondition: `base` outlives the client.
+  explicit HttpClient(event_base* base);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Sends `request`; `callback` runs exactly once, at the latest after `timeout` plus one second.
+  /// An answer body above `max_body_bytes` is an error.
+  void Send(const NetAddress& server, HttpRequest request, std::chrono::milliseconds timeout,
+            Callback callback);
+
+  /// Number of requests that have no result yet.
+  size_t in_flight() const;
+
+  static constexpr int64_t kMaxBodyBytes = 4 << 20;
+
+ private:
+  class Exchange;
+  void Release(Exchange* exchange);
+
+  event_base* base_;
+  std::multimap<NetAddress, EvhttpConnectionPtr> idle_;
+  std::map<Exchange*, std::unique_ptr<Exchange>> exchanges_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBBASE_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/libbase/log.h
@@ -0,0 +1,50 @@
+#ifndef CAMPHORHOIST_LIBBASE_LOG_H_
+#define CAMPHORHOIST_LIBBASE_LOG_H_
+
+#include <sstream>
+#include <string>
+
+#include "camphorhoist/finding.h"
+
+namespace camphorhoist {
+
+enum class LogLevel { kDebug, kInfo, kWarn, kError };
+
+/// Sets up log4cplus to write structured lines to standard error. `level` is "debug", "info",
+/// "warn" or "error"; anything else adds a finding at `place`. Call once, before the first
+/// `LogEvent`. Thread safety: call from the main thread only.
+void ConfigureLogging(const std::string& level, const std::string& process_name,
+                      const std::string& place, Findings* findings);
+
+/// One structured log line: "module=config event=applied version=1.7". The line is written when the
+/// object is destroyed. Values with spaces, quotes or control characters are written in quotes.
+///
+/// Thread safety: distinct objects may be used from distinct threads.
+class LogEvent {
+ public:
+  LogEvent(LogLevel level, const char* module, const char* event);
+  ~LogEvent();
+  LogEvent(const LogEvent&) = delete;
+  LogEvent& operator=(const LogEvent&) = delete;
+
+  template <typename T>
+  LogEvent& Add(const char* key, const T& value) {
+    if (!enabled_) return *this;
+    std::ostringstream out;
+    out << value;
+    Append(key, out.str());
+    return *this;
+  }
+
+ private:
+  void Append(const char* key, const std::string& value);
+
+  LogLevel level_;
+  bool enabled_;
+  const char* module_;
+  std::string line_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBBASE_LOG_H_
--- /dev/null
+++ b/src/libnode/event_loop.h
@@ -0,0 +1,93 @@
+#ifndef CAMPHORHOIST_LIBNODE_EVENT_LOOP_H_
+#define CAMPHORHOIST_LIBNODE_EVENT_LOOP_H_
+
+#include <kj/async-io.h>
+#include <kj/async.h>
+
+#include <memory>
+#include <system_error>
+
+#include "camphorhoist/net_address.h"
+#include "libbase/event_ptr.h"
+
+namespace camphorhoist {
+
+/// Lets KJ's event loop wait in libevent, so that evhttp and Cap'n Proto RPC share one thread.
+class LibeventPort final : public kj::EventPort {
+ public:
+  explicit LibeventPort(event_base* base) : base_(base) {}
+
+  bool wait() override;
+  bool poll() override;
+
+ private:
+  event_base* base_;
+};
+
+/// The event loop of a process that speaks Cap'n Proto RPC.
+///
+/// Thread safety: none; create, run and destroy on one thread. Ignores SIGPIPE for the process.
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  event_base* base() const { return base_.get(); }
+  kj::WaitScope& wait_scope() { return wait_scope_; }
+
+  /// Runs until `Stop`. Does not wait for promises that are still pending.
+  void Run();
+  /// Makes `Run` return after the current turn. May be called from any handler of the loop.
+  void Stop();
+
+ private:
+  EventBasePtr base_;
+  LibeventPort port_;
+  kj::EventLoop loop_;
+  kj::WaitScope wait_scope_;
+  kj::Own<kj::PromiseFulfiller<void>> stop_;
+};
+
+/// A non-blocking TCP socket as a KJ stream. A write after the peer has gone is a disconnect
+/// exception.
+///
+/// Thread safety: none; use on the loop's thread.
+class SocketStream final : public kj::AsyncIoStream {
+ public:
+  /// Takes over `fd`, which must be a connected, non-blocking stream socket.
+  SocketStream(event_base* base, int fd);
+  ~SocketStream();
+  KJ_DISALLOW_COPY(SocketStream);
+
+  kj::Promise<size_t> tryRead(void* buffer, size_t min_bytes, size_t max_bytes) override;
+  kj::Promise<void> write(const void* buffer, size_t size) override;
+  kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+  kj::Promise<void> whenWriteDisconnected() override;
+  void shutdownWrite() override;
+  void abortRead() override;
+
+ private:
+  class Readiness;
+  kj::Promise<size_t> ReadMore(kj::byte* buffer, size_t min_bytes, size_t max_bytes, size_t done);
+  kj::Promise<void> WriteMore(kj::Array<kj::byte> data, size_t done);
+
+  int fd_;
+  std::unique_ptr<Readiness> readable_;
+  std::unique_ptr<Readiness> writable_;
+};
+
+/// Opens a connection. The promise fails with a disconnect exception if the peer refuses; it does
+/// not time out by itself.
+kj::Promise<kj::Own<SocketStream>> ConnectSocket(event_base* base, const NetAddress& address);
+
+/// Binds a listening TCP socket, close-on-exec and non-blocking. Returns -1 and sets `ec` on error.
+int ListenSocket(const NetAddress& address, std::error_code* ec);
+
+/// The address to which a socket is bound; for port 0 the port that the system chose.
+NetAddress BoundAddress(int fd);
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBNODE_EVENT_LOOP_H_
--- /dev/null
+++ b/src/libnode/node.capnp
@@ -0,0 +1,100 @@
+@0xc3a8f1de52b7946a;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("camphorhoist::rpc");
+
+struct Version {
+  epoch @0 :UInt64;
+  number @1 :UInt64;
+}
+
+struct CallId {
+  origin @0 :UInt64;
+  counter @1 :UInt64;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct CallRequest {
+  id @0 :CallId;
+  # Incarnation of the node that is meant to run the call.
+  targetIncarnation @1 :UInt64;
+  service @2 :Text;
+  # Address of the upstream, as it announced itself.
+  endpoint @3 :Text;
+  method @4 :Text;
+  target @5 :Text;
+  headers @6 :List(Header);
+  body @7 :Data;
+  # Time that remains until the caller's deadline.
+  timeoutMs @8 :UInt32;
+  maxQueueMs @9 :UInt32;
+  longWork @10 :Bool;
+  idempotent @11 :Bool;
+}
+
+enum Outcome {
+  answered @0;
+  notRun @1;
+  unknown @2;
+}
+
+struct CallResult {
+  outcome @0 :Outcome;
+  # Why the call was not run or its outcome is unknown.
+  reason @1 :Text;
+  # Load of the upstream side when the call finished.
+  queueLength @2 :UInt32;
+  running @3 :UInt32;
+  limit @4 :UInt32;
+  queueMicros @5 :UInt32;
+  serviceMicros @6 :UInt32;
+}
+
+interface AnswerSink {
+  # Receives the answer of one call: one head, chunks, one end. An answer without `end` is broken.
+  head @0 (status :UInt16, headers :List(Header)) -> ();
+  chunk @1 (data :Data) -> stream;
+  end @2 () -> ();
+}
+
+struct RecordChange {
+  # "kind/name".
+  key @0 :Text;
+  # Record as JSON text; empty for a removal.
+  body @1 :Text;
+}
+
+interface Node {
+  hello @0 (mesh :Text, address :Text, incarnation :UInt64)
+      -> (mesh :Text, address :Text, incarnation :UInt64);
+  ping @1 (payload :Data) -> (payload :Data);
+
+  call @2 (request :CallRequest, sink :AnswerSink) -> (result :CallResult);
+
+  enum CallState {
+    # The call never started on this node and cannot start any more.
+    voided @0;
+    # The call has started and runs still.
+    started @1;
+    # The call has finished; its answer was sent to the sink of its request.
+    finished @2;
+    # The node cannot tell: the call was meant for another incarnation.
+    unknown @3;
+  }
+  resolveCall @3 (id :CallId, targetIncarnation :UInt64) -> (state :CallState);
+  # Asks to withdraw or abort a call; a call that runs on is not an error.
+  cancelCall @4 (id :CallId, targetIncarnation :UInt64) -> ();
+
+  # Changes that lead from the version and hash that the asker has to the node's current version.
+  # `full` says that `changes` holds all records, because the node does not have the asker's version.
+  pullConfig @5 (version :Version, hash :Text)
+      -> (version :Version, hash :Text, full :Bool, changes :List(RecordChange));
+  # The highest version that the node has seen, and the one last reported to it for `address`.
+  floor @6 (address :Text) -> (highest :Version, reported :Version);
+  # A membership message, for exchange between data centres when it does not fit a datagram.
+  exchangeMembers @7 (message :Data) -> (message :Data);
+}
