--- /dev/null
+++ b/src/libnode/answer_writer.cc
@@ -0,0 +1,113 @@
+#include "libnode/answer_writer.h"
+
+#include <utility>
+
+namespace camphorhoist {
+
+kj::Promise<NodeCallResult> RpcAnswerWriter::WhenDone() {
+  auto paf = kj::newPromiseAndFulfiller<NodeCallResult>();
+  done_ = kj::mv(paf.fulfiller);
+  return kj::mv(paf.promise);
+}
+
+void RpcAnswerWriter::Cancel() {
+  if (cancelled_ || (finished_ && done_.get() == nullptr)) return;
+  cancelled_ = true;
+  chunks_.clear();
+  buffered_bytes_ = 0;
+  on_writable_ = nullptr;
+  const auto callback = std::move(on_cancelled_);
+  on_cancelled_ = nullptr;
+  if (callback) callback();
+}
+
+void RpcAnswerWriter::SetOnCancelled(std::function<void()> callback) {
+  on_cancelled_ = std::move(callback);
+}
+
+void RpcAnswerWriter::Head(int status, HttpHeaders headers) {
+  status_ = status;
+  headers_ = std::move(headers);
+}
+
+void RpcAnswerWriter::Chunk(std::string data) {
+  if (cancelled_ || data.empty()) return;
+  buffered_bytes_ += data.size();
+  chunks_.push_back(std::move(data));
+  if (!streaming_ && buffered_bytes_ > kMaxInlineBytes) StartStreaming();
+  if (streaming_) Pump();
+}
+
+void RpcAnswerWriter::End() {
+  ended_ = true;
+  if (streaming_) Pump();
+}
+
+void RpcAnswerWriter::Done(NodeCallResult result) {
+  if (cancelled_ || finished_) return;
+  finished_ = true;
+  result_ = std::move(result);
+  if (streaming_) {
+    Pump();
+    return;
+  }
+  if (ended_) {
+    result_.inline_answer = true;
+    result_.status = status_;
+    result_.headers = std::move(headers_);
+    for (const std::string& it : chunks_) result_.body += it;
+  }
+  Complete();
+}
+
+void RpcAnswerWriter::StartStreaming() {
+  streaming_ = true;
+  auto request = sink_.headRequest();
+  request.setStatus(static_cast<uint16_t>(status_));
+  WriteHeaders(headers_, request.initHeaders(static_cast<unsigned>(headers_.size())));
+  tasks_->add(request.send().ignoreResult());
+}
+
+void RpcAnswerWriter::Pump() {
+  if (cancelled_ || sending_) return;
+  if (chunks_.empty()) {
+    if (ended_ && !end_sent_) {
+      SendEnd();
+    } else if (finished_) {
+      Complete();
+    }
+    return;
+  }
+  const std::string data = std::move(chunks_.front());
+  chunks_.pop_front();
+  auto request = sink_.chunkRequest();
+  request.setData(kj::arrayPtr(reinterpret_cast<const kj::byte*>(data.data()), data.size()));
+  const size_t size = data.size();
+  Track(request.send().then([self = shared_from_this(), size] {
+    if (!self->cancelled_) self->buffered_bytes_ -= size;
+  }));
+}
+
+void RpcAnswerWriter::SendEnd() {
+  end_sent_ = true;
+  Track(sink_.endRequest().send().ignoreResult());
+}
+
+// Sends one message at a time: the promise of a streaming call resolves when the flow-control
+// window has room for the next. On a lost connection the RPC layer cancels the call.
+void RpcAnswerWriter::Track(kj::Promise<void> promise) {
+  sending_ = true;
+  tasks_->add(promise.then([self = shared_from_this()] {
+    self->sending_ = false;
+    self->Pump();
+    if (self->buffered_bytes_ == 0 && self->on_writable_) self->on_writable_();
+  }));
+}
+
+void RpcAnswerWriter::Complete() {
+  if (done_.get() == nullptr) return;
+  auto done = kj::mv(done_);
+  done->fulfill(std::move(result_));
+}
+
+}  // namespace camphorhoist
--- a/src/libnode/event_loop.cc
+++ b/src/libnode/event_loop.cc
@@ -17,14 +17,6 @@
 
 constexpr int kListenBacklog = 1024;
 
-sockaddr_in ToSockaddr(const NetAddress& address) {
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(address.port());
-  inet_pton(AF_INET, address.ip().c_str(), &name.sin_addr);
-  return name;
-}
-
 }  // namespace
 
 bool LibeventPort::wait() {
@@ -42,7 +34,10 @@
   signal(SIGPIPE, SIG_IGN);
 }
 
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop() {
+  // KJ requires an empty queue; closing RPC connections leaves events behind.
+  wait_scope_.poll();
+}
 
 void EventLoop::Run() {
   auto paf = kj::newPromiseAndFulfiller<void>();
@@ -206,6 +201,14 @@
       });
 }
 
+sockaddr_in ToSockaddr(const NetAddress& address) {
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(address.port());
+  inet_pton(AF_INET, address.ip().c_str(), &name.sin_addr);
+  return name;
+}
+
 int ListenSocket(const NetAddress& address, std::error_code* ec) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
   const int on = 1;
--- a/src/libnode/event_loop.h
+++ b/src/libnode/event_loop.h
@@ -3,6 +3,7 @@
 
 #include <kj/async-io.h>
 #include <kj/async.h>
+#include <netinet/in.h>
 
 #include <memory>
 #include <system_error>
@@ -82,6 +83,9 @@
 /// not time out by itself.
 kj::Promise<kj::Own<SocketStream>> ConnectSocket(event_base* base, const NetAddress& address);
 
+/// Precondition: `address` holds a valid IP number.
+sockaddr_in ToSockaddr(const NetAddress& address);
+
 /// Binds a listening TCP socket, close-on-exec and non-blocking. Returns -1 and sets `ec` on error.
 int ListenSocket(const NetAddress& address, std::error_code* ec);
 
--- a/src/libnode/node.capnp
+++ b/src/libnode/node.capnp
@@ -52,49 +52,55 @@
   limit @4 :UInt32;
   queueMicros @5 :UInt32;
   serviceMicros @6 :UInt32;
+  # A small whole answer travels here and not through the sink.
+  inlineAnswer @7 :Bool;
+  status @8 :UInt16;
+  headers @9 :List(Header);
+  body @10 :Data;
 }
 
 interface AnswerSink {
-  # Receives the answer of one call: one head, chunks, one end. An answer without `end` is broken.
+  # Receives a large answer: one head, chunks, one end. An answer without `end` is broken.
   head @0 (status :UInt16, headers :List(Header)) -> ();
   chunk @1 (data :Data) -> stream;
   end @2 () -> ();
 }
 
 struct RecordChange {
-  # "kind/name".
-  key @0 :Text;
+  kind @0 :Text;
+  name @1 :Text;
+  # Configuration number at which the record was last changed.
+  changedAt @2 :UInt64;
   # Record as JSON text; empty for a removal.
-  body @1 :Text;
+  body @3 :Text;
 }
 
 interface Node {
+  # Must be the first call on a connection; the mesh names have to be equal.
   hello @0 (mesh :Text, address :Text, incarnation :UInt64)
       -> (mesh :Text, address :Text, incarnation :UInt64);
   ping @1 (payload :Data) -> (payload :Data);
 
+  # Dropping the call cancels it.
   call @2 (request :CallRequest, sink :AnswerSink) -> (result :CallResult);
 
   enum CallState {
     # The call never started on this node and cannot start any more.
     voided @0;
-    # The call has started and runs still.
+    # The call has started and still runs.
     started @1;
-    # The call has finished; its answer was sent to the sink of its request.
+    # The call has finished; `result` holds its answer if the node still has it.
     finished @2;
     # The node cannot tell: the call was meant for another incarnation.
     unknown @3;
   }
-  resolveCall @3 (id :CallId, targetIncarnation :UInt64) -> (state :CallState);
-  # Asks to withdraw or abort a call; a call that runs on is not an error.
-  cancelCall @4 (id :CallId, targetIncarnation :UInt64) -> ();
+  resolveCall @3 (id :CallId, targetIncarnation :UInt64)
+      -> (state :CallState, hasResult :Bool, result :CallResult);
 
   # Changes that lead from the version and hash that the asker has to the node's current version.
   # `full` says that `changes` holds all records, because the node does not have the asker's version.
-  pullConfig @5 (version :Version, hash :Text)
+  pullConfig @4 (version :Version, hash :Text)
       -> (version :Version, hash :Text, full :Bool, changes :List(RecordChange));
   # The highest version that the node has seen, and the one last reported to it for `address`.
-  floor @6 (address :Text) -> (highest :Version, reported :Version);
-  # A membership message, for exchange between data centres when it does not fit a datagram.
-  exchangeMembers @7 (message :Data) -> (message :Data);
+  floor @5 (address :Text) -> (highest :Version, reported :Version);
 }
--- a/src/libnode/node.capnp.h
+++ b/src/libnode/node.capnp.h
@@ -59,10 +59,6 @@
 CAPNP_DECLARE_SCHEMA(8011d33c4e1d4743);
 CAPNP_DECLARE_SCHEMA(c65c07f6d1b7038a);
 CAPNP_DECLARE_SCHEMA(efeb3473027ae7c5);
-CAPNP_DECLARE_SCHEMA(ee591358b869a72d);
-CAPNP_DECLARE_SCHEMA(fed3478251b88c8e);
-CAPNP_DECLARE_SCHEMA(d6deb8a282a2fd64);
-CAPNP_DECLARE_SCHEMA(c16bce4e40209a5b);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -140,7 +136,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5d1439c77d1941e, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b5d1439c77d1941e, 4, 3)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -252,7 +248,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(98836c64c5b28c74, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(98836c64c5b28c74, 1, 3)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -277,14 +273,10 @@
   struct CallResults;
   struct ResolveCallParams;
   struct ResolveCallResults;
-  struct CancelCallParams;
-  struct CancelCallResults;
   struct PullConfigParams;
   struct PullConfigResults;
   struct FloorParams;
   struct FloorResults;
-  struct ExchangeMembersParams;
-  struct ExchangeMembersResults;
 
 #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -407,37 +399,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(89339dc5e31133b9, 1, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::CancelCallParams {
-  CancelCallParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bc17e0e970d07146, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::CancelCallResults {
-  CancelCallResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8011d33c4e1d4743, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(89339dc5e31133b9, 1, 1)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -452,7 +414,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c65c07f6d1b7038a, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(bc17e0e970d07146, 0, 2)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -467,7 +429,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(efeb3473027ae7c5, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8011d33c4e1d4743, 1, 3)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -482,7 +444,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ee591358b869a72d, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c65c07f6d1b7038a, 0, 1)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -497,37 +459,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fed3478251b88c8e, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::ExchangeMembersParams {
-  ExchangeMembersParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6deb8a282a2fd64, 0, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-#endif  // !CAPNP_LITE
-  };
-};
-
-struct Node::ExchangeMembersResults {
-  ExchangeMembersResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c16bce4e40209a5b, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(efeb3473027ae7c5, 0, 2)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -984,6 +916,17 @@
 
   inline ::uint32_t getServiceMicros() const;
 
+  inline bool getInlineAnswer() const;
+
+  inline ::uint16_t getStatus() const;
+
+  inline bool hasHeaders() const;
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+      const;
+
+  inline bool hasBody() const;
+  inline ::capnp::Data::Reader getBody() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1037,6 +980,30 @@
   inline ::uint32_t getServiceMicros();
   inline void setServiceMicros(::uint32_t value);
 
+  inline bool getInlineAnswer();
+  inline void setInlineAnswer(bool value);
+
+  inline ::uint16_t getStatus();
+  inline void setStatus(::uint16_t value);
+
+  inline bool hasHeaders();
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
+      unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
+
+  inline bool hasBody();
+  inline ::capnp::Data::Builder getBody();
+  inline void setBody(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownBody();
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1515,8 +1482,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline ::capnp::Text::Reader getKey() const;
+  inline bool hasKind() const;
+  inline ::capnp::Text::Reader getKind() const;
+
+  inline bool hasName() const;
+  inline ::capnp::Text::Reader getName() const;
+
+  inline ::uint64_t getChangedAt() const;
 
   inline bool hasBody() const;
   inline ::capnp::Text::Reader getBody() const;
@@ -1549,12 +1521,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline ::capnp::Text::Builder getKey();
-  inline void setKey(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownKey();
+  inline bool hasKind();
+  inline ::capnp::Text::Builder getKind();
+  inline void setKind(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initKind(unsigned int size);
+  inline void adoptKind(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownKind();
+
+  inline bool hasName();
+  inline ::capnp::Text::Builder getName();
+  inline void setName(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownName();
+
+  inline ::uint64_t getChangedAt();
+  inline void setChangedAt(::uint64_t value);
 
   inline bool hasBody();
   inline ::capnp::Text::Builder getBody();
@@ -1616,17 +1598,11 @@
   ::capnp::Request<::camphorhoist::rpc::Node::ResolveCallParams,
                    ::camphorhoist::rpc::Node::ResolveCallResults>
   resolveCallRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::camphorhoist::rpc::Node::CancelCallParams,
-                   ::camphorhoist::rpc::Node::CancelCallResults>
-  cancelCallRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request<::camphorhoist::rpc::Node::PullConfigParams,
                    ::camphorhoist::rpc::Node::PullConfigResults>
   pullConfigRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request<::camphorhoist::rpc::Node::FloorParams, ::camphorhoist::rpc::Node::FloorResults>
   floorRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request<::camphorhoist::rpc::Node::ExchangeMembersParams,
-                   ::camphorhoist::rpc::Node::ExchangeMembersResults>
-  exchangeMembersRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
  protected:
   Client() = default;
@@ -1657,10 +1633,6 @@
   typedef ::camphorhoist::rpc::Node::ResolveCallResults ResolveCallResults;
   typedef ::capnp::CallContext<ResolveCallParams, ResolveCallResults> ResolveCallContext;
   virtual ::kj::Promise<void> resolveCall(ResolveCallContext context);
-  typedef ::camphorhoist::rpc::Node::CancelCallParams CancelCallParams;
-  typedef ::camphorhoist::rpc::Node::CancelCallResults CancelCallResults;
-  typedef ::capnp::CallContext<CancelCallParams, CancelCallResults> CancelCallContext;
-  virtual ::kj::Promise<void> cancelCall(CancelCallContext context);
   typedef ::camphorhoist::rpc::Node::PullConfigParams PullConfigParams;
   typedef ::camphorhoist::rpc::Node::PullConfigResults PullConfigResults;
   typedef ::capnp::CallContext<PullConfigParams, PullConfigResults> PullConfigContext;
@@ -1669,11 +1641,6 @@
   typedef ::camphorhoist::rpc::Node::FloorResults FloorResults;
   typedef ::capnp::CallContext<FloorParams, FloorResults> FloorContext;
   virtual ::kj::Promise<void> floor(FloorContext context);
-  typedef ::camphorhoist::rpc::Node::ExchangeMembersParams ExchangeMembersParams;
-  typedef ::camphorhoist::rpc::Node::ExchangeMembersResults ExchangeMembersResults;
-  typedef ::capnp::CallContext<ExchangeMembersParams, ExchangeMembersResults>
-      ExchangeMembersContext;
-  virtual ::kj::Promise<void> exchangeMembers(ExchangeMembersContext context);
 
   inline ::camphorhoist::rpc::Node::Client thisCap() {
     return ::capnp::Capability::Server::thisCap().template castAs<::camphorhoist::rpc::Node>();
@@ -2310,6 +2277,11 @@
 
   inline ::camphorhoist::rpc::Node::CallState getState() const;
 
+  inline bool getHasResult() const;
+
+  inline bool hasResult() const;
+  inline ::camphorhoist::rpc::CallResult::Reader getResult() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2341,89 +2313,15 @@
   inline ::camphorhoist::rpc::Node::CallState getState();
   inline void setState(::camphorhoist::rpc::Node::CallState value);
 
- private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Node::ResolveCallResults::Pipeline {
- public:
-  typedef ResolveCallResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
- private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Node::CancelCallParams::Reader {
- public:
-  typedef CancelCallParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId() const;
-  inline ::camphorhoist::rpc::CallId::Reader getId() const;
-
-  inline ::uint64_t getTargetIncarnation() const;
-
- private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Node::CancelCallParams::Builder {
- public:
-  typedef CancelCallParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId();
-  inline ::camphorhoist::rpc::CallId::Builder getId();
-  inline void setId(::camphorhoist::rpc::CallId::Reader value);
-  inline ::camphorhoist::rpc::CallId::Builder initId();
-  inline void adoptId(::capnp::Orphan<::camphorhoist::rpc::CallId>&& value);
-  inline ::capnp::Orphan<::camphorhoist::rpc::CallId> disownId();
+  inline bool getHasResult();
+  inline void setHasResult(bool value);
 
-  inline ::uint64_t getTargetIncarnation();
-  inline void setTargetIncarnation(::uint64_t value);
+  inline bool hasResult();
+  inline ::camphorhoist::rpc::CallResult::Builder getResult();
+  inline void setResult(::camphorhoist::rpc::CallResult::Reader value);
+  inline ::camphorhoist::rpc::CallResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan<::camphorhoist::rpc::CallResult>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::CallResult> disownResult();
 
  private:
   ::capnp::_::StructBuilder _builder;
@@ -2435,84 +2333,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::CancelCallParams::Pipeline {
+class Node::ResolveCallResults::Pipeline {
  public:
-  typedef CancelCallParams Pipelines;
+  typedef ResolveCallResults Pipelines;
 
   inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::camphorhoist::rpc::CallId::Pipeline getId();
-
- private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Node::CancelCallResults::Reader {
- public:
-  typedef CancelCallResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
- private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Node::CancelCallResults::Builder {
- public:
-  typedef CancelCallResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
- private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Node::CancelCallResults::Pipeline {
- public:
-  typedef CancelCallResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline ::camphorhoist::rpc::CallResult::Pipeline getResult();
 
  private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -2897,169 +2726,11 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ExchangeMembersParams::Reader {
- public:
-  typedef ExchangeMembersParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+// =======================================================================================
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasMessage() const;
-  inline ::capnp::Data::Reader getMessage() const;
-
- private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Node::ExchangeMembersParams::Builder {
- public:
-  typedef ExchangeMembersParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasMessage();
-  inline ::capnp::Data::Builder getMessage();
-  inline void setMessage(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownMessage();
-
- private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Node::ExchangeMembersParams::Pipeline {
- public:
-  typedef ExchangeMembersParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
- private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Node::ExchangeMembersResults::Reader {
- public:
-  typedef ExchangeMembersResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasMessage() const;
-  inline ::capnp::Data::Reader getMessage() const;
-
- private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Node::ExchangeMembersResults::Builder {
- public:
-  typedef ExchangeMembersResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasMessage();
-  inline ::capnp::Data::Builder getMessage();
-  inline void setMessage(::capnp::Data::Reader value);
-  inline ::capnp::Data::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan<::capnp::Data>&& value);
-  inline ::capnp::Orphan<::capnp::Data> disownMessage();
-
- private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Node::ExchangeMembersResults::Pipeline {
- public:
-  typedef ExchangeMembersResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
- private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-// =======================================================================================
-
-inline ::uint64_t Version::Reader::getEpoch() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+inline ::uint64_t Version::Reader::getEpoch() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
 
 inline ::uint64_t Version::Builder::getEpoch() {
   return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3550,6 +3221,100 @@
   _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CallResult::Reader::getInlineAnswer() const {
+  return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool CallResult::Builder::getInlineAnswer() {
+  return _builder.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void CallResult::Builder::setInlineAnswer(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint16_t CallResult::Reader::getStatus() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t CallResult::Builder::getStatus() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
+}
+inline void CallResult::Builder::setStatus(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CallResult::Reader::hasHeaders() const {
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallResult::Builder::hasHeaders() {
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader
+CallResult::Reader::getHeaders() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder
+CallResult::Builder::getHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CallResult::Builder::setHeaders(
+    ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder
+CallResult::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CallResult::Builder::adoptHeaders(
+    ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>
+CallResult::Builder::disownHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::disown(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CallResult::Reader::hasBody() const {
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallResult::Builder::hasBody() {
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Data::Reader CallResult::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Data::Builder CallResult::Builder::getBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CallResult::Builder::setBody(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Data::Builder CallResult::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CallResult::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Data> CallResult::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline AnswerSink::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
 inline AnswerSink::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
@@ -3655,68 +3420,110 @@
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RecordChange::Reader::hasKey() const {
+inline bool RecordChange::Reader::hasKind() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RecordChange::Builder::hasKey() {
+inline bool RecordChange::Builder::hasKind() {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RecordChange::Reader::getKey() const {
+inline ::capnp::Text::Reader RecordChange::Reader::getKind() const {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RecordChange::Builder::getKey() {
+inline ::capnp::Text::Builder RecordChange::Builder::getKind() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordChange::Builder::setKey(::capnp::Text::Reader value) {
+inline void RecordChange::Builder::setKind(::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder RecordChange::Builder::initKey(unsigned int size) {
+inline ::capnp::Text::Builder RecordChange::Builder::initKind(unsigned int size) {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RecordChange::Builder::adoptKey(::capnp::Orphan<::capnp::Text>&& value) {
+inline void RecordChange::Builder::adoptKind(::capnp::Orphan<::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownKey() {
+inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownKind() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RecordChange::Reader::hasBody() const {
+inline bool RecordChange::Reader::hasName() const {
   return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RecordChange::Builder::hasBody() {
+inline bool RecordChange::Builder::hasName() {
   return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader RecordChange::Reader::getBody() const {
+inline ::capnp::Text::Reader RecordChange::Reader::getName() const {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder RecordChange::Builder::getBody() {
+inline ::capnp::Text::Builder RecordChange::Builder::getName() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RecordChange::Builder::setBody(::capnp::Text::Reader value) {
+inline void RecordChange::Builder::setName(::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder RecordChange::Builder::initBody(unsigned int size) {
+inline ::capnp::Text::Builder RecordChange::Builder::initName(unsigned int size) {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RecordChange::Builder::adoptBody(::capnp::Orphan<::capnp::Text>&& value) {
+inline void RecordChange::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownBody() {
+inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownName() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline ::uint64_t RecordChange::Reader::getChangedAt() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t RecordChange::Builder::getChangedAt() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RecordChange::Builder::setChangedAt(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RecordChange::Reader::hasBody() const {
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool RecordChange::Builder::hasBody() {
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader RecordChange::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder RecordChange::Builder::getBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void RecordChange::Builder::setBody(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder RecordChange::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void RecordChange::Builder::adoptBody(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Node::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
 inline Node::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
@@ -4122,54 +3929,56 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Node::CancelCallParams::Reader::hasId() const {
+inline bool Node::ResolveCallResults::Reader::getHasResult() const {
+  return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool Node::ResolveCallResults::Builder::getHasResult() {
+  return _builder.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void Node::ResolveCallResults::Builder::setHasResult(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::ResolveCallResults::Reader::hasResult() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::CancelCallParams::Builder::hasId() {
+inline bool Node::ResolveCallResults::Builder::hasResult() {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::camphorhoist::rpc::CallId::Reader Node::CancelCallParams::Reader::getId() const {
-  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::get(
+inline ::camphorhoist::rpc::CallResult::Reader Node::ResolveCallResults::Reader::getResult() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::get(
       _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::camphorhoist::rpc::CallId::Builder Node::CancelCallParams::Builder::getId() {
-  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::get(
+inline ::camphorhoist::rpc::CallResult::Builder Node::ResolveCallResults::Builder::getResult() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::get(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline ::camphorhoist::rpc::CallId::Pipeline Node::CancelCallParams::Pipeline::getId() {
-  return ::camphorhoist::rpc::CallId::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::rpc::CallResult::Pipeline Node::ResolveCallResults::Pipeline::getResult() {
+  return ::camphorhoist::rpc::CallResult::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::CancelCallParams::Builder::setId(::camphorhoist::rpc::CallId::Reader value) {
-  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::set(
+inline void Node::ResolveCallResults::Builder::setResult(
+    ::camphorhoist::rpc::CallResult::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::set(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::camphorhoist::rpc::CallId::Builder Node::CancelCallParams::Builder::initId() {
-  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::init(
+inline ::camphorhoist::rpc::CallResult::Builder Node::ResolveCallResults::Builder::initResult() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::init(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::CancelCallParams::Builder::adoptId(
-    ::capnp::Orphan<::camphorhoist::rpc::CallId>&& value) {
-  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::adopt(
+inline void Node::ResolveCallResults::Builder::adoptResult(
+    ::capnp::Orphan<::camphorhoist::rpc::CallResult>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::adopt(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::camphorhoist::rpc::CallId> Node::CancelCallParams::Builder::disownId() {
-  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::disown(
+inline ::capnp::Orphan<::camphorhoist::rpc::CallResult>
+Node::ResolveCallResults::Builder::disownResult() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::disown(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t Node::CancelCallParams::Reader::getTargetIncarnation() const {
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t Node::CancelCallParams::Builder::getTargetIncarnation() {
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Node::CancelCallParams::Builder::setTargetIncarnation(::uint64_t value) {
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool Node::PullConfigParams::Reader::hasVersion() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -4470,71 +4279,6 @@
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Node::ExchangeMembersParams::Reader::hasMessage() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ExchangeMembersParams::Builder::hasMessage() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Data::Reader Node::ExchangeMembersParams::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder Node::ExchangeMembersParams::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ExchangeMembersParams::Builder::setMessage(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder Node::ExchangeMembersParams::Builder::initMessage(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Node::ExchangeMembersParams::Builder::adoptMessage(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Data> Node::ExchangeMembersParams::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Node::ExchangeMembersResults::Reader::hasMessage() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ExchangeMembersResults::Builder::hasMessage() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Data::Reader Node::ExchangeMembersResults::Reader::getMessage() const {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder Node::ExchangeMembersResults::Builder::getMessage() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Node::ExchangeMembersResults::Builder::setMessage(::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Data::Builder Node::ExchangeMembersResults::Builder::initMessage(
-    unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Node::ExchangeMembersResults::Builder::adoptMessage(
-    ::capnp::Orphan<::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Data> Node::ExchangeMembersResults::Builder::disownMessage() {
-  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 }  // namespace rpc
 }  // namespace camphorhoist
 
--- /dev/null
+++ b/src/libnode/node_server.h
@@ -0,0 +1,98 @@
+#ifndef CAMPHORHOIST_LIBNODE_NODE_SERVER_H_
+#define CAMPHORHOIST_LIBNODE_NODE_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "libnode/event_loop.h"
+#include "libnode/node_messages.h"
+
+namespace camphorhoist {
+
+/// Sends the answer of one call back to the caller-side node. Small whole answers travel with the
+/// result, larger ones are streamed with flow control.
+///
+/// Thread safety: none; use on the loop's thread. All methods are safe after the call was
+/// cancelled.
+class AnswerWriter {
+ public:
+  virtual ~AnswerWriter() = default;
+
+  virtual void Head(int status, HttpHeaders headers) = 0;
+  /// Precondition: `Head` was called.
+  virtual void Chunk(std::string data) = 0;
+  /// Marks the answer as whole.
+  virtual void End() = 0;
+  /// Ends the call. Without an earlier `End` the answer counts as broken or absent.
+  virtual void Done(NodeCallResult result) = 0;
+
+  /// Bytes accepted by `Chunk` and not yet taken by the connection.
+  virtual size_t buffered_bytes() const = 0;
+  /// `callback` runs when `buffered_bytes` has fallen to zero.
+  virtual void SetOnWritable(std::function<void()> callback) = 0;
+  /// `callback` runs when the caller-side node drops the call or its connection is lost.
+  virtual void SetOnCancelled(std::function<void()> callback) = 0;
+};
+
+/// What a node does for its peers. Thread safety: called on the loop's thread.
+class NodeService {
+ public:
+  virtual ~NodeService() = default;
+
+  /// Runs a call. `Done` must be called on `writer` exactly once, unless the call is cancelled.
+  virtual void OnCall(NodeCallRequest request, std::shared_ptr<AnswerWriter> writer) = 0;
+  virtual ResolveReply OnResolve(const CallId& id, uint64_t target_incarnation) = 0;
+  virtual ConfigDeltaMessage OnPull(const ConfigVersion& version, const std::string& hash) = 0;
+  virtual FloorReply OnFloor(const std::string& address) = 0;
+};
+
+struct NodeIdentity {
+  std::string mesh;
+  NetAddress address;
+  uint64_t incarnation = 0;
+};
+
+/// Accepts RPC connections from other nodes. A connection that sends a broken message, or names
+/// another mesh, is closed or refused and does not affect the others.
+///
+/// Thread safety: none; use on the loop's thread.
+class NodeServer {
+ public:
+  /// Preconditions: `loop` and `service` outlive the server.
+  NodeServer(EventLoop* loop, NodeIdentity identity, NodeService* service);
+  ~NodeServer();
+  NodeServer(const NodeServer&) = delete;
+  NodeServer& operator=(const NodeServer&) = delete;
+
+  /// Binds and starts to accept. Returns the system's error if the address cannot be bound.
+  std::error_code Listen(const NetAddress& address);
+  /// Stops accepting connections; open ones go on.
+  void StopAccepting();
+
+  NetAddress bound_address() const { return bound_; }
+  size_t connections() const { return connections_.size(); }
+  /// Connections refused or closed because of a wrong mesh name or a broken message.
+  uint64_t rejected() const { return rejected_; }
+
+ private:
+  class Connection;
+  void Accept();
+  void Close(Connection* connection);
+
+  EventLoop* loop_;
+  NodeIdentity identity_;
+  NodeService* service_;
+  int listen_fd_ = -1;
+  NetAddress bound_;
+  EventPtr accept_event_;
+  uint64_t rejected_ = 0;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBNODE_NODE_SERVER_H_
--- /dev/null
+++ b/src/libnode/peer_pool.cc
@@ -0,0 +1,350 @@
+#include "libnode/peer_pool.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+
+#include <utility>
+
+#include "camphorhoist/error.h"
+#include "libbase/log.h"
+
+namespace camphorhoist {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kCheckPeriod{50};
+
+class IgnoreErrors final : public kj::TaskSet::ErrorHandler {
+ public:
+  void taskFailed(kj::Exception&& exception) override {
+    LogEvent(LogLevel::kWarn, "node", "task_failed")
+        .Add("error", exception.getDescription().cStr());
+  }
+};
+
+/// Promise adapter that resolves after a delay.
+class Delay {
+ public:
+  Delay(kj::PromiseFulfiller<void>& fulfiller, event_base* base, std::chrono::milliseconds delay)
+      : timer_(base, [&fulfiller] { fulfiller.fulfill(); }) {
+    timer_.StartOnce(delay);
+  }
+
+ private:
+  Timer timer_;
+};
+
+kj::Promise<void> After(event_base* base, std::chrono::milliseconds delay) {
+  return kj::newAdaptedPromise<void, Delay>(base, delay);
+}
+
+}  // namespace
+
+/// One connection: opens, says hello, and then carries calls.
+class PeerPool::Connection {
+ public:
+  Connection(EventLoop* loop, const NodeIdentity& identity, NetAddress peer)
+      : peer_(std::move(peer)),
+        last_heard_(Clock::now()),
+        last_used_(last_heard_),
+        ready_(Open(loop, identity).fork()) {}
+  KJ_DISALLOW_COPY(Connection);
+
+  /// Resolves when the connection is open and the peer belongs to the mesh.
+  kj::Promise<void> Ready() { return ready_.addBranch(); }
+  rpc::Node::Client& node() { return KJ_ASSERT_NONNULL(node_); }
+
+  void Heard() { last_heard_ = Clock::now(); }
+  void Used() { last_used_ = Clock::now(); }
+  bool open() const { return open_; }
+  bool Idle(Clock::time_point now) const { return now - last_used_ > kIdleTimeout; }
+
+  /// Pings a quiet connection. Returns true if an earlier ping was not answered in time.
+  bool CheckSilence(Clock::time_point now) {
+    if (!open_) return false;
+    if (ping_pending_) return now - ping_sent_ > kPingTimeout;
+    if (now - last_heard_ < kQuietBeforePing) return false;
+    ping_pending_ = true;
+    ping_sent_ = now;
+    ping_ = node()
+                .pingRequest()
+                .send()
+                .then([this](auto&&) {
+                  ping_pending_ = false;
+                  Heard();
+                })
+                .eagerlyEvaluate([](kj::Exception&&) {});
+    return false;
+  }
+  /// Forgets a ping sent before the connection became idle.
+  void ResetSilence() {
+    if (ping_pending_) return;
+    Heard();
+  }
+
+ private:
+  kj::Promise<void> Open(EventLoop* loop, const NodeIdentity& identity) {
+    auto timeout = After(loop->base(), kConnectTimeout).then([]() -> kj::Promise<void> {
+      return KJ_EXCEPTION(OVERLOADED, "connection was not ready in time");
+    });
+    return ConnectSocket(loop->base(), peer_)
+        .then([this, identity](kj::Own<SocketStream> stream) {
+          stream_ = kj::mv(stream);
+          client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
+          node_ = client_->bootstrap().castAs<rpc::Node>();
+          auto hello = node().helloRequest();
+          hello.setMesh(identity.mesh);
+          hello.setAddress(identity.address.ToString());
+          hello.setIncarnation(identity.incarnation);
+          return hello.send().then([this, mesh = identity.mesh](auto&& response) {
+            if (mesh != response.getMesh().cStr()) {
+              kj::throwFatalException(KJ_EXCEPTION(FAILED, "mesh name of the peer differs"));
+            }
+            open_ = true;
+            Heard();
+          });
+        })
+        .exclusiveJoin(kj::mv(timeout));
+  }
+
+  NetAddress peer_;
+  Clock::time_point last_heard_;
+  Clock::time_point last_used_;
+  Clock::time_point ping_sent_;
+  bool open_ = false;
+  bool ping_pending_ = false;
+  kj::Own<SocketStream> stream_;
+  kj::Own<capnp::TwoPartyClient> client_;
+  kj::Maybe<rpc::Node::Client> node_;
+  kj::Promise<void> ping_ = nullptr;
+  kj::ForkedPromise<void> ready_;
+};
+
+class PeerPool::ActiveCall {
+ public:
+  ActiveCall(std::shared_ptr<Connection> connection_in, AnswerHandler* handler_in)
+      : connection(std::move(connection_in)), handler(handler_in) {}
+
+  std::shared_ptr<Connection> connection;
+  AnswerHandler* handler;
+  bool sent = false;
+  kj::Promise<void> promise = nullptr;
+};
+
+/// Receives a streamed answer and passes it to the handler of the call, if that still exists.
+class PeerPool::Sink final : public rpc::AnswerSink::Server {
+ public:
+  Sink(PeerPool* pool, CallHandle handle) : pool_(pool), handle_(handle) {}
+
+  kj::Promise<void> head(HeadContext context) override {
+    if (auto* handler = Handler()) {
+      const auto params = context.getParams();
+      handler->OnHead(params.getStatus(), ReadHeaders(params.getHeaders()));
+    }
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> chunk(ChunkContext context) override {
+    auto* handler = Handler();
+    if (handler == nullptr) return kj::READY_NOW;
+    const auto data = context.getParams().getData();
+    std::string copy(reinterpret_cast<const char*>(data.begin()), data.size());
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(paf.fulfiller));
+    handler->OnChunk(std::move(copy), [fulfiller] { (*fulfiller)->fulfill(); });
+    return kj::mv(paf.promise);
+  }
+
+  kj::Promise<void> end(EndContext) override {
+    if (auto* handler = Handler()) handler->OnEnd();
+    return kj::READY_NOW;
+  }
+
+ private:
+  AnswerHandler* Handler() {
+    const auto it = pool_->calls_.find(handle_);
+    if (it == pool_->calls_.end()) return nullptr;
+    it->second->connection->Heard();
+    return it->second->handler;
+  }
+
+  PeerPool* pool_;
+  CallHandle handle_;
+};
+
+PeerPool::PeerPool(EventLoop* loop, NodeIdentity identity)
+    : loop_(loop),
+      identity_(std::move(identity)),
+      retire_(loop->base(),
+              [this] {
+                retired_calls_.clear();
+                retired_connections_.clear();
+              }),
+      check_(loop->base(), [this] { CheckConnections(); }),
+      error_handler_(std::make_unique<IgnoreErrors>()),
+      tasks_(std::make_unique<kj::TaskSet>(*error_handler_)) {
+  check_.StartPeriodic(kCheckPeriod);
+}
+
+PeerPool::~PeerPool() {
+  tasks_.reset();
+  calls_.clear();
+  retired_calls_.clear();
+}
+
+std::shared_ptr<PeerPool::Connection> PeerPool::Get(const NetAddress& peer, bool bulk) {
+  auto& entry = connections_[Key(peer, bulk)];
+  if (!entry) entry = std::make_shared<Connection>(loop_, identity_, peer);
+  entry->Used();
+  return entry;
+}
+
+void PeerPool::Forget(const Connection* connection) {
+  for (auto it = connections_.begin(); it != connections_.end(); ++it) {
+    if (it->second.get() != connection) continue;
+    retired_connections_.push_back(std::move(it->second));
+    connections_.erase(it);
+    retire_.StartOnce(std::chrono::microseconds(0));
+    return;
+  }
+}
+
+PeerPool::CallHandle PeerPool::Call(const NetAddress& peer, bool bulk,
+                                    const NodeCallRequest& request, AnswerHandler* handler) {
+  const CallHandle handle = next_handle_++;
+  auto call = std::make_unique<ActiveCall>(Get(peer, bulk), handler);
+  ActiveCall* raw = call.get();
+  calls_.emplace(handle, std::move(call));
+  raw->connection->ResetSilence();
+  raw->promise =
+      raw->connection->Ready()
+          .then([this, raw, handle, request]() -> kj::Promise<void> {
+            if (calls_.count(handle) == 0) return kj::READY_NOW;  // cancelled in this turn
+            raw->sent = true;
+            auto message = raw->connection->node().callRequest();
+            WriteCallRequest(request, message.initRequest());
+            message.setSink(kj::heap<Sink>(this, handle));
+            return message.send().then([this, raw, handle](auto&& response) {
+              raw->connection->Heard();
+              FinishCall(handle, PeerCallStatus::kResult, ReadCallResult(response.getResult()));
+            });
+          })
+          .eagerlyEvaluate([this, raw, handle](kj::Exception&& e) {
+            // A connection that failed once is not used again.
+            Forget(raw->connection.get());
+            NodeCallResult result;
+            result.reason = e.getDescription().cStr();
+            FinishCall(handle, raw->sent ? PeerCallStatus::kLost : PeerCallStatus::kNotSent,
+                       std::move(result));
+          });
+  return handle;
+}
+
+void PeerPool::Cancel(CallHandle handle) {
+  const auto it = calls_.find(handle);
+  if (it == calls_.end()) return;
+  it->second->connection->Used();
+  retired_calls_.push_back(std::move(it->second));
+  calls_.erase(it);
+  retire_.StartOnce(std::chrono::microseconds(0));
+}
+
+void PeerPool::FinishCall(CallHandle handle, PeerCallStatus status, NodeCallResult result) {
+  const auto it = calls_.find(handle);
+  if (it == calls_.end()) return;
+  AnswerHandler* handler = it->second->handler;
+  Cancel(handle);
+  handler->OnDone(status, std::move(result));
+}
+
+// A silent connection is given up; its calls are reported and not repeated here.
+void PeerPool::CheckConnections() {
+  const auto now = Clock::now();
+  std::map<Connection*, std::vector<CallHandle>> busy;
+  for (const auto& it : calls_) busy[it.second->connection.get()].push_back(it.first);
+  for (const auto& it : busy) {
+    if (!it.first->CheckSilence(now)) continue;
+    LogEvent(LogLevel::kWarn, "node", "connection_silent").Add("calls", it.second.size());
+    Forget(it.first);
+    for (const CallHandle handle : it.second) FinishCall(handle, PeerCallStatus::kSilent, {});
+  }
+  std::vector<const Connection*> idle;
+  for (const auto& it : connections_) {
+    if (busy.count(it.second.get()) == 0 && it.second->Idle(now)) idle.push_back(it.second.get());
+  }
+  for (const Connection* it : idle) Forget(it);
+}
+
+template <typename Reply, typename Send, typename Callback>
+void PeerPool::Ask(const std::shared_ptr<Connection>& connection, std::chrono::milliseconds timeout,
+                   Send send, Callback callback) {
+  connection->Used();
+  auto shared = std::make_shared<Callback>(std::move(callback));
+  auto expired = After(loop_->base(), timeout).then([]() -> kj::Promise<Reply> {
+    return KJ_EXCEPTION(OVERLOADED, "no reply in time");
+  });
+  auto reply = connection->Ready().then([connection, send] { return send(connection->node()); });
+  tasks_->add(reply.exclusiveJoin(kj::mv(expired))
+                  .then([connection, shared](Reply&& value) {
+                    connection->Heard();
+                    (*shared)({}, std::move(value));
+                  })
+                  .catch_([this, connection, shared](kj::Exception&& e) {
+                    Forget(connection.get());
+                    const bool expired_in_time = e.getType() == kj::Exception::Type::OVERLOADED;
+                    (*shared)(expired_in_time ? Errc::kDeadlineExceeded : Errc::kUnavailable,
+                              Reply());
+                  })
+                  .attach(std::shared_ptr<Connection>(connection)));
+}
+
+void PeerPool::Resolve(const NetAddress& peer, const CallId& id, uint64_t target_incarnation,
+                       std::chrono::milliseconds timeout, ResolveCallback callback) {
+  auto send = [id, target_incarnation](rpc::Node::Client& node) {
+    auto request = node.resolveCallRequest();
+    request.initId().setOrigin(id.origin());
+    request.getId().setCounter(id.counter());
+    request.setTargetIncarnation(target_incarnation);
+    return request.send().then([](auto&& response) {
+      ResolveReply reply;
+      if (response.getState() <= rpc::Node::CallState::UNKNOWN) {
+        reply.state = static_cast<NodeCallState>(response.getState());
+      }
+      reply.has_result = response.getHasResult();
+      if (reply.has_result) reply.result = ReadCallResult(response.getResult());
+      return reply;
+    });
+  };
+  Ask<ResolveReply>(std::make_shared<Connection>(loop_, identity_, peer), timeout, send,
+                    std::move(callback));
+}
+
+void PeerPool::Pull(const NetAddress& peer, const ConfigVersion& version, const std::string& hash,
+                    std::chrono::milliseconds timeout, PullCallback callback) {
+  auto send = [version, hash](rpc::Node::Client& node) {
+    auto request = node.pullConfigRequest();
+    WriteVersion(version, request.initVersion());
+    request.setHash(hash);
+    return request.send().then([](auto&& response) { return ReadDelta(response); });
+  };
+  Ask<ConfigDeltaMessage>(Get(peer, true), timeout, send, std::move(callback));
+}
+
+void PeerPool::Floor(const NetAddress& peer, const std::string& address,
+                     std::chrono::milliseconds timeout, FloorCallback callback) {
+  auto send = [address](rpc::Node::Client& node) {
+    auto request = node.floorRequest();
+    request.setAddress(address);
+    return request.send().then([](auto&& response) {
+      FloorReply reply;
+      reply.highest = ReadVersion(response.getHighest());
+      reply.reported = ReadVersion(response.getReported());
+      return reply;
+    });
+  };
+  Ask<FloorReply>(Get(peer, true), timeout, send, std::move(callback));
+}
+
+}  // namespace camphorhoist
--- a/src/testing/test_main.cc
+++ b/src/testing/test_main.cc
@@ -9,7 +9,11 @@
 
 #include <iostream>
 
+#include "libbase/log.h"
+
 int main(int argc, char** argv) {
+  camphorhoist::Findings findings;
+  camphorhoist::ConfigureLogging("error", "test", "log level", &findings);
   CppUnit::TestResult controller;
   CppUnit::TestResultCollector collector;
   CppUnit::BriefTestProgressListener progress;
