Add membership, endpoint table, duty election and distribution rules

Member versions are merged by maximum apart from the sequence, since every accepted change raises them on all members and per-entry gossip would exceed 3 KB/s per node.

--- /dev/null
+++ b/include/camphorhoist/endpoint_table.h
@@ -0,0 +1,74 @@
+#ifndef CAMPHORHOIST_ENDPOINT_TABLE_H_
+#define CAMPHORHOIST_ENDPOINT_TABLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "camphorhoist/member.h"
+#include "camphorhoist/membership.h"
+
+namespace camphorhoist {
+
+/// Nearness of an endpoint to the own node, nearest first.
+enum class LocalityTier : uint8_t { kSameDataCentre, kSameRegion, kRest };
+
+/// An endpoint that may take new work.
+struct EndpointRef {
+  MemberId node;
+  /// Incarnation of the node; travels with calls.
+  uint64_t incarnation = 0;
+  EndpointInfo info;
+  LocalityTier tier = LocalityTier::kRest;
+  std::string data_centre;
+};
+
+/// The serving endpoints by service, sorted by tier, node and upstream address. Built from the
+/// events of `Membership`.
+///
+/// Thread safety: none; use from one thread.
+class EndpointTable {
+ public:
+  using Endpoints = std::vector<EndpointRef>;
+  /// Called with the service whose endpoints changed, after the change.
+  using Listener = std::function<void(const std::string& service)>;
+
+  EndpointTable(std::string data_centre, std::string region);
+
+  void SetListener(Listener listener) { listener_ = std::move(listener); }
+
+  /// Applies an event; other effects of the membership are ignored.
+  void Apply(const MemberEffect& effect);
+  void Apply(const EndpointChanged& event);
+  void Apply(const DataCentreChanged& event);
+
+  /// The endpoints of a service, one map search; empty if there is none. The value is immutable and
+  /// may be kept while the table changes.
+  std::shared_ptr<const Endpoints> Find(const std::string& service) const;
+  /// All services with at least one endpoint, sorted.
+  std::vector<std::string> Services() const;
+  /// Raised by each change.
+  uint64_t generation() const { return generation_; }
+
+ private:
+  LocalityTier TierOf(const MemberEntry& entry) const;
+  void Rebuild(const std::set<std::string>& services);
+  bool Usable(const MemberEntry& entry) const;
+
+  std::string data_centre_;
+  std::string region_;
+  std::map<MemberId, MemberEntry> members_;
+  std::map<std::string, std::set<MemberId>> by_service_;
+  std::map<std::string, std::shared_ptr<const Endpoints>> services_;
+  std::set<std::string> unreachable_;
+  Listener listener_;
+  uint64_t generation_ = 0;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_ENDPOINT_TABLE_H_
--- /dev/null
+++ b/src/libmember/membership.cc
@@ -0,0 +1,359 @@
+#include "camphorhoist/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "camphorhoist/error.h"
+#include "libmember/membership_impl.h"
+
+namespace camphorhoist {
+
+namespace {
+
+constexpr std::chrono::seconds kSecond{1};
+// A departure is repeated, because the member answers no repair afterwards.
+constexpr int kLeavePushes = 8;
+constexpr std::chrono::milliseconds kLeavePushInterval{250};
+
+std::string Printable(const std::string& text) {
+  std::string clean = text.substr(0, kMaxRefusalBytes);
+  for (char& c : clean) {
+    if (c < ' ' || c >= 127) c = '?';
+  }
+  return clean;
+}
+
+}  // namespace
+
+Membership::Impl::Impl(MembershipOptions options) : options_(std::move(options)) {
+  self_.address = options_.self;
+  self_.data_centre = options_.data_centre;
+  self_.region = options_.region;
+  self_.incarnation = std::max<uint64_t>(options_.incarnation, 1);
+  self_.sequence = 1;
+  self_.lowest_schema = options_.lowest_schema;
+  self_.highest_schema = options_.highest_schema;
+  auto& seeds = options_.seeds;
+  seeds.erase(std::remove(seeds.begin(), seeds.end(), options_.self), seeds.end());
+  table_.Put(MemberTime(), self_, MemberState::kAlive);
+}
+
+void Membership::Impl::Start(MemberTime now, std::mt19937_64& rng) {
+  started_ = true;
+  started_at_ = now;
+  last_tick_ = now;
+  heard_own_data_centre_ = now;
+  // Members that start together must not probe in the same instant.
+  const std::chrono::milliseconds offset(RandomIndex(rng, 1000));
+  next_probe_ = now + offset;
+  next_second_ = now + offset;
+  next_join_ = now;
+  digest_interval_ = kSecond;
+  next_digest_ = now + kSecond + offset;
+  next_reconnect_ = now + 5 * kSecond + offset;
+  joined_ = options_.seeds.empty();
+  table_.Put(now, self_, MemberState::kAlive);
+  gossip_.Add(self_.address);
+}
+
+MemberEffects Membership::Impl::Tick(MemberTime now, std::mt19937_64& rng) {
+  MemberEffects out;
+  if (!started_) Start(now, rng);
+  NoticePause(now, rng, &out);
+  last_tick_ = now;
+  if (left_) {
+    if (leave_pushes_ < kLeavePushes && now >= next_leave_push_) {
+      ++leave_pushes_;
+      next_leave_push_ = now + kLeavePushInterval;
+      PushUrgent(now, rng, self_.address, &out);
+    }
+    return out;
+  }
+  CheckIsolation(now);
+  RunJoin(now, rng, &out);
+  RunProbes(now, rng, &out);
+  RunSuspicions(now, &out);
+  RunDigest(now, rng, &out);
+  RunReconnect(now, rng, &out);
+  if (now < next_second_) return out;
+  next_second_ = std::max(next_second_ + kSecond, now);
+  RunBridge(now, rng, &out);
+  RunReachability(now, &out);
+  table_.Expire(now);
+  return out;
+}
+
+MemberEffects Membership::Impl::OnMessage(MemberTime now, std::mt19937_64& rng,
+                                          const MemberId& from, const MemberMessage& message) {
+  MemberEffects out;
+  ++counters_.messages_in;
+  if (message.mesh != options_.mesh) {
+    ++counters_.wrong_mesh;
+    return out;
+  }
+  if (message.sender != from || from == self_.address) {
+    ++counters_.invalid_sender;
+    return out;
+  }
+  if (!started_) Start(now, rng);
+  NoticePause(now, rng, &out);
+  if (left_) {
+    if (message.kind == MessageKind::kPing) OnPing(now, message, &out);
+    return out;
+  }
+  const bool gossip = message.kind != MessageKind::kPage;
+  for (const MemberUpdate& it : message.updates) Learn(now, rng, it, gossip, &out);
+  ReadHeader(now, message, &out);
+  ReadVersionSets(now, message, &out);
+  Dispatch(now, rng, message, &out);
+  return out;
+}
+
+void Membership::Impl::ReadHeader(MemberTime now, const MemberMessage& message,
+                                  MemberEffects* out) {
+  if (message.sender_data_centre == self_.data_centre) {
+    heard_own_data_centre_ = now;
+    for (const auto& [name, dc] : table_.data_centres()) {
+      const uint32_t key = DataCentreKey(name);
+      for (const DataCentreAge& it : message.ages) {
+        if (it.data_centre != key) continue;
+        HeardDataCentre(now, now - std::chrono::milliseconds(it.age_ms), name, out);
+      }
+    }
+  } else {
+    HeardDataCentre(now, now, message.sender_data_centre, out);
+  }
+  if (table_.RaiseVersion(now, message.sender, message.sender_incarnation, message.version)) {
+    hot_versions_[message.sender_data_centre] = GossipLimit();
+    ReportMember(message.sender, out);
+  }
+  out->push_back(VersionHeard{message.version, message.hash, message.sender, message.head_age});
+  // A sender that is held for suspect or gone is told, so that it can refute.
+  const MemberRecord* record = table_.Find(message.sender);
+  const bool doubted =
+      record != nullptr
+          ? record->state != MemberState::kAlive &&
+                record->entry.incarnation >= message.sender_incarnation
+          : table_.Tombstone(message.sender).value_or(0) >= message.sender_incarnation;
+  if (doubted) SendUpdates(now, message.sender, {*table_.UpdateOf(message.sender)}, 1, out);
+}
+
+void Membership::Impl::ReadVersionSets(MemberTime now, const MemberMessage& message,
+                                       MemberEffects* out) {
+  for (const VersionSet& set : message.version_sets) {
+    const auto changed = table_.ApplyVersionSet(now, set);
+    if (changed.empty()) continue;
+    hot_versions_[set.data_centre] = GossipLimit();
+    for (const MemberId& id : changed) ReportMember(id, out);
+  }
+}
+
+void Membership::Impl::Dispatch(MemberTime now, std::mt19937_64& rng, const MemberMessage& message,
+                                MemberEffects* out) {
+  switch (message.kind) {
+    case MessageKind::kPing:
+      return OnPing(now, message, out);
+    case MessageKind::kAck:
+      return OnAck(now, message, out);
+    case MessageKind::kPingRequest:
+      return OnPingRequest(now, message, out);
+    case MessageKind::kJoin:
+      return SendPage(now, message.sender, MemberId(), out);
+    case MessageKind::kPageRequest:
+      return SendPage(now, message.sender, message.target, out);
+    case MessageKind::kPage:
+      return OnPage(now, rng, message, out);
+    case MessageKind::kDigest:
+      return OnDigest(now, message, out);
+    case MessageKind::kKeys:
+      return OnKeys(now, message, out);
+    case MessageKind::kEntryRequest:
+      return OnEntryRequest(now, message, out);
+    case MessageKind::kUpdates:
+    case MessageKind::kAnnounce:
+      return;
+  }
+}
+
+void Membership::Impl::Learn(MemberTime now, std::mt19937_64& rng, const MemberUpdate& update,
+                             bool gossip, MemberEffects* out) {
+  const MemberId& id = update.entry.address;
+  if (id == self_.address) return LearnAboutSelf(now, rng, update, out);
+  const MergeResult result = table_.Merge(now, update);
+  if (result.stale) ++counters_.stale_updates;
+  if (result.news || result.version_changed) ReportMember(id, out);
+  if (result.endpoints_changed) ReportEndpoints(id, out);
+  if (result.version_changed && gossip) {
+    hot_versions_[table_.Find(id)->entry.data_centre] = GossipLimit();
+  }
+  if (!result.news || !gossip) return;
+  gossip_.Add(id, result.urgent);
+  if (table_.Find(id)->entry.data_centre == self_.data_centre) exports_.Add(id, result.urgent);
+  if (result.urgent) PushUrgent(now, rng, id, out);
+}
+
+void Membership::Impl::LearnAboutSelf(MemberTime now, std::mt19937_64& rng,
+                                      const MemberUpdate& update, MemberEffects* out) {
+  const MemberEntry& claim = update.entry;
+  const bool accused =
+      update.state != MemberState::kAlive && claim.incarnation >= self_.incarnation;
+  const bool other_run =
+      claim.incarnation > self_.incarnation ||
+      (claim.incarnation == self_.incarnation && claim.sequence > self_.sequence);
+  if (!accused && !other_run) return;
+  ++counters_.refutations;
+  RaiseIncarnation(now, claim.incarnation);
+  PushUrgent(now, rng, self_.address, out);
+}
+
+void Membership::Impl::RaiseIncarnation(MemberTime now, uint64_t above) {
+  self_.incarnation = std::max(above, self_.incarnation) + 1;
+  PublishSelf(now, true);
+}
+
+void Membership::Impl::PublishSelf(MemberTime now, bool urgent) {
+  table_.Put(now, self_, left_ ? MemberState::kLeft : MemberState::kAlive);
+  gossip_.Add(self_.address, urgent);
+  exports_.Add(self_.address, urgent);
+}
+
+MemberEffects Membership::Impl::UpdateSelf(MemberTime now, std::mt19937_64& rng,
+                                           const SelfState& state, std::error_code* ec) {
+  MemberEffects out;
+  if (ec != nullptr) *ec = std::error_code();
+  MemberEntry fresh = self_;
+  fresh.version = std::max(self_.version, state.version);
+  fresh.refusal = Printable(state.refusal);
+  fresh.endpoints = state.endpoints;
+  fresh.draining = state.draining;
+  if (fresh.endpoints.size() > kMaxEndpointsPerMember ||
+      EstimateUpdateBytes({MemberState::kAlive, true, fresh}) > kMaxEntryBytes) {
+    if (ec != nullptr) *ec = Errc::kInvalidInput;
+    return out;
+  }
+  if (state.version >= self_.version) hash_ = state.hash;
+  if (fresh == self_) return out;
+  const MemberEntry before = self_;
+  const bool version_changed = fresh.version != before.version;
+  self_ = fresh;
+  if (version_changed) hot_versions_[self_.data_centre] = GossipLimit();
+  self_.version = before.version;
+  const bool entry_changed = self_ != before;
+  self_.version = fresh.version;
+  if (!entry_changed) {
+    table_.RaiseVersion(now, self_.address, self_.incarnation, self_.version);
+    ReportMember(self_.address, &out);
+    return out;
+  }
+  ++self_.sequence;
+  const bool urgent = StopsServing(before, self_);
+  PublishSelf(now, urgent);
+  ReportMember(self_.address, &out);
+  ReportEndpoints(self_.address, &out);
+  if (urgent) PushUrgent(now, rng, self_.address, &out);
+  return out;
+}
+
+MemberEffects Membership::Impl::Leave(MemberTime now, std::mt19937_64& rng) {
+  MemberEffects out;
+  if (left_) return out;
+  left_ = true;
+  self_.draining = true;
+  ++self_.sequence;
+  PublishSelf(now, true);
+  next_leave_push_ = now + kLeavePushInterval;
+  PushUrgent(now, rng, self_.address, &out);
+  ReportMember(self_.address, &out);
+  ReportEndpoints(self_.address, &out);
+  return out;
+}
+
+void Membership::Impl::ReportMember(const MemberId& id, MemberEffects* out) const {
+  const MemberRecord* record = table_.Find(id);
+  if (record != nullptr) out->push_back(MemberChanged{record->entry, record->state});
+}
+
+void Membership::Impl::ReportEndpoints(const MemberId& id, MemberEffects* out) const {
+  const MemberRecord* record = table_.Find(id);
+  if (record != nullptr) out->push_back(EndpointChanged{record->entry, record->state});
+}
+
+Membership::Membership(MembershipOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options))) {}
+Membership::~Membership() = default;
+Membership::Membership(Membership&&) noexcept = default;
+Membership& Membership::operator=(Membership&&) noexcept = default;
+
+MemberEffects Membership::Tick(MemberTime now, std::mt19937_64& rng) {
+  return impl_->Tick(now, rng);
+}
+
+MemberEffects Membership::OnMessage(MemberTime now, std::mt19937_64& rng, const MemberId& from,
+                                    const MemberMessage& message) {
+  return impl_->OnMessage(now, rng, from, message);
+}
+
+MemberEffects Membership::UpdateSelf(MemberTime now, std::mt19937_64& rng, const SelfState& state,
+                                     std::error_code* ec) {
+  return impl_->UpdateSelf(now, rng, state, ec);
+}
+
+void Membership::SetHeadConfirmed(MemberTime at) { impl_->set_head_confirmed(at); }
+
+MemberEffects Membership::Leave(MemberTime now, std::mt19937_64& rng) {
+  return impl_->Leave(now, rng);
+}
+
+SendMessage Membership::MakeAnnouncement(MemberTime now, const MemberId& to) {
+  return impl_->MakeAnnouncement(now, to);
+}
+
+std::vector<MemberView> Membership::Members() const {
+  std::vector<MemberView> views;
+  for (const auto& [id, record] : impl_->table().records()) views.push_back(*Find(id));
+  return views;
+}
+
+std::optional<MemberView> Membership::Find(const MemberId& id) const {
+  const MemberRecord* record = impl_->table().Find(id);
+  if (record == nullptr) return std::nullopt;
+  return MemberView{record->entry, record->state, Reachable(record->entry.data_centre),
+                    record->reported};
+}
+
+std::vector<MemberId> Membership::LiveMembers(const std::string& data_centre) const {
+  const auto* dc = impl_->table().FindDataCentre(data_centre);
+  if (dc == nullptr) return {};
+  return {dc->live.begin(), dc->live.end()};
+}
+
+size_t Membership::LiveCount() const {
+  size_t n = 0;
+  for (const auto& [name, dc] : impl_->table().data_centres()) {
+    if (dc.reachable) n += dc.live.size();
+  }
+  return n;
+}
+
+bool Membership::Reachable(const std::string& data_centre) const {
+  const auto* dc = impl_->table().FindDataCentre(data_centre);
+  return dc != nullptr && dc->reachable;
+}
+
+const MemberEntry& Membership::self() const { return impl_->self(); }
+bool Membership::joined() const { return impl_->joined(); }
+
+std::pair<uint32_t, uint32_t> Membership::SchemaRange() const {
+  const MemberEntry& own = impl_->self();
+  std::pair<uint32_t, uint32_t> range(own.highest_schema, own.lowest_schema);
+  for (const auto& [id, record] : impl_->table().records()) {
+    if (!IsLive(record.state)) continue;
+    range.first = std::min(range.first, record.entry.highest_schema);
+    range.second = std::max(range.second, record.entry.lowest_schema);
+  }
+  return range;
+}
+
+const MembershipCounters& Membership::counters() const { return impl_->counters(); }
+
+}  // namespace camphorhoist
