Add the call decision library

Cause: the daemon needs outcomes, endpoint choice, admission, confirmation, retries and hedging without sockets or a clock, so that they can be tested event by event. Ruled out: tombstones for every refused call; at 4 times the capacity of a fast upstream they would fill the ledger with refusals and turn good calls away.

--- /dev/null
+++ b/include/camphorhoist/call_budget.h
@@ -0,0 +1,73 @@
+#ifndef CAMPHORHOIST_CALL_BUDGET_H_
+#define CAMPHORHOIST_CALL_BUDGET_H_
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+
+#include "camphorhoist/call_types.h"
+
+namespace camphorhoist {
+
+/// Token budget of extra attempts: each success earns a share of a token, each extra attempt costs
+/// one. Keeps retries from multiplying the load when upstreams fail.
+///
+/// Thread safety: none; use from one thread.
+class RetryBudget {
+ public:
+  /// Extra attempts per success.
+  static constexpr double kRetryShare = 0.10;
+  static constexpr double kHedgeShare = 0.05;
+  /// Tokens at the start, so that a node without traffic yet may retry.
+  static constexpr double kInitialTokens = 5;
+  /// Upper bound of saved tokens; limits the burst after a long quiet time.
+  static constexpr double kMaxTokens = 100;
+
+  explicit RetryBudget(double share = kRetryShare) : share_(share) {}
+
+  void OnSuccess();
+  /// Takes one token; returns false, and takes nothing, if there is less than one.
+  bool TryTake();
+  double tokens() const { return tokens_; }
+
+ private:
+  double share_;
+  double tokens_ = kInitialTokens;
+};
+
+/// Latency quantile of one service and the budget of hedges. A hedge is due once a call has waited
+/// longer than the quantile.
+///
+/// Thread safety: none; use from one thread.
+class HedgePolicy {
+ public:
+  static constexpr double kQuantile = 0.95;
+  /// No hedge before this many samples: a quantile of fewer means nothing.
+  static constexpr double kMinSamples = 50;
+  /// The weight of all samples is halved once it reaches this number, so that old ones fade.
+  static constexpr double kHalvingWeight = 2000;
+  static constexpr std::chrono::milliseconds kMinDelay{2};
+
+  /// Records the time from sending to the head of the response, and earns hedge budget.
+  void OnLatency(CallDuration latency);
+  /// True if there are enough samples for `Delay`.
+  bool Ready() const { return weight_ >= kMinSamples; }
+  /// Time after which a call without a head is slow; at least `kMinDelay`.
+  CallDuration Delay() const;
+  /// Takes the cost of one hedge from the budget; false if it is used up.
+  bool TryTake() { return budget_.TryTake(); }
+
+ private:
+  // Buckets grow by a factor of 2^(1/4) from 16 us; 96 of them reach over 4 minutes.
+  static constexpr size_t kBuckets = 96;
+  static constexpr double kBucketsPerOctave = 4;
+  static constexpr double kFirstBucketMicros = 16;
+
+  std::array<double, kBuckets> buckets_{};
+  double weight_ = 0;
+  RetryBudget budget_{RetryBudget::kHedgeShare};
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_CALL_BUDGET_H_
--- /dev/null
+++ b/include/camphorhoist/concurrency_limit.h
@@ -0,0 +1,57 @@
+#ifndef CAMPHORHOIST_CONCURRENCY_LIMIT_H_
+#define CAMPHORHOIST_CONCURRENCY_LIMIT_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "camphorhoist/call_types.h"
+
+namespace camphorhoist {
+
+/// Adaptive concurrency limit of one upstream: additive increase up to the slots, multiplicative
+/// decrease when short calls take much longer than their long-term baseline or work is shed.
+///
+/// Thread safety: none; use from one thread.
+class ConcurrencyLimit {
+ public:
+  /// Service times above this multiple of the baseline lower the limit.
+  static constexpr double kSlowFactor = 2.0;
+  static constexpr double kDecrease = 0.85;
+  static constexpr double kIncrease = 1.0;
+  /// The limit is adapted once per window at most.
+  static constexpr std::chrono::milliseconds kWindow{100};
+  /// Time constants of the recent mean and of the baseline.
+  static constexpr std::chrono::milliseconds kRecent{200};
+  static constexpr std::chrono::milliseconds kBaseline{30000};
+  /// Lowest limit as a share of the slots. An upstream that is slow for an outside reason gains
+  /// nothing from fewer calls, so the limit does not fall to one.
+  static constexpr double kFloorShare = 0.5;
+
+  explicit ConcurrencyLimit(uint32_t slots) : slots_(slots), limit_(slots) {}
+
+  void OnFinish(CallTime now, WorkClass work_class, CallDuration service_time, bool shed);
+
+  uint32_t limit() const { return static_cast<uint32_t>(limit_); }
+  /// Recent mean service time of each class; 0 before the first sample.
+  CallDuration MeanService(WorkClass work_class) const;
+
+ private:
+  struct Mean {
+    double micros = 0;
+    CallTime at{};
+    void Add(CallTime now, double sample, std::chrono::milliseconds time_constant);
+  };
+  void Adapt(CallTime now);
+
+  uint32_t slots_;
+  double limit_;
+  Mean recent_;
+  Mean baseline_;
+  Mean long_work_;
+  bool shed_ = false;
+  CallTime adapted_at_{};
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_CONCURRENCY_LIMIT_H_
--- /dev/null
+++ b/include/camphorhoist/deadline.h
@@ -0,0 +1,49 @@
+#ifndef CAMPHORHOIST_DEADLINE_H_
+#define CAMPHORHOIST_DEADLINE_H_
+
+#include <algorithm>
+#include <chrono>
+
+#include "camphorhoist/call_types.h"
+
+namespace camphorhoist {
+
+/// Point in time after which nobody waits for the head of a response.
+///
+/// Immutable value type. Thread safety: distinct objects may be used from distinct threads.
+class Deadline {
+ public:
+  /// Taken off at each hop, so that the next hop gives up before this one does.
+  static constexpr std::chrono::milliseconds kHopMargin{2};
+
+  explicit Deadline(CallTime at) : at_(at) {}
+  /// The earlier of the timeout from the caller's header and that of the route or service.
+  static Deadline After(CallTime now, std::chrono::milliseconds timeout) {
+    return Deadline(now + timeout);
+  }
+  static Deadline Earlier(const Deadline& a, const Deadline& b) {
+    return Deadline(std::min(a.at_, b.at_));
+  }
+
+  CallTime at() const { return at_; }
+  bool Expired(CallTime now) const { return now >= at_; }
+  /// Time that remains, rounded down; never negative.
+  std::chrono::milliseconds Remaining(CallTime now) const {
+    if (Expired(now)) return std::chrono::milliseconds(0);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(at_ - now);
+  }
+  /// Timeout to send to the next hop: what remains less `kHopMargin`; never negative.
+  std::chrono::milliseconds ForNextHop(CallTime now) const {
+    return std::max(Remaining(now) - kHopMargin, std::chrono::milliseconds(0));
+  }
+
+  friend bool operator==(const Deadline& a, const Deadline& b) { return a.at_ == b.at_; }
+  friend bool operator<(const Deadline& a, const Deadline& b) { return a.at_ < b.at_; }
+
+ private:
+  CallTime at_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_DEADLINE_H_
--- /dev/null
+++ b/src/libcall/call_budget.cc
@@ -0,0 +1,45 @@
+#include "camphorhoist/call_budget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorhoist {
+
+void RetryBudget::OnSuccess() { tokens_ = std::min(tokens_ + share_, kMaxTokens); }
+
+bool RetryBudget::TryTake() {
+  // The sum of ten times 0.1 is slightly below 1.
+  constexpr double kRounding = 1e-9;
+  if (tokens_ + kRounding < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+void HedgePolicy::OnLatency(CallDuration latency) {
+  const double micros = std::chrono::duration<double, std::micro>(latency).count();
+  const double octaves = std::log2(std::max(micros / kFirstBucketMicros, 1.0));
+  const auto bucket = static_cast<size_t>(octaves * kBucketsPerOctave);
+  buckets_[std::min(bucket, kBuckets - 1)] += 1;
+  weight_ += 1;
+  budget_.OnSuccess();
+  if (weight_ < kHalvingWeight) return;
+  for (double& it : buckets_) it /= 2;
+  weight_ /= 2;
+}
+
+CallDuration HedgePolicy::Delay() const {
+  double below = 0;
+  size_t bucket = 0;
+  while (bucket + 1 < kBuckets && below + buckets_[bucket] < kQuantile * weight_) {
+    below += buckets_[bucket];
+    ++bucket;
+  }
+  // The upper edge of the bucket, so that the delay is not below the quantile.
+  const double micros =
+      kFirstBucketMicros * std::exp2(static_cast<double>(bucket + 1) / kBucketsPerOctave);
+  const auto delay =
+      std::chrono::duration_cast<CallDuration>(std::chrono::duration<double, std::micro>(micros));
+  return std::max<CallDuration>(delay, kMinDelay);
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libcall/call_coordinator.cc
@@ -0,0 +1,375 @@
+#include "camphorhoist/call_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorhoist {
+
+namespace {
+
+AttemptEnd EndOfRefusal(CallReason reason) {
+  switch (reason) {
+    case CallReason::kQueueFull:
+    case CallReason::kQueueTimeout:
+    case CallReason::kOverloaded:
+    case CallReason::kShed:
+    case CallReason::kLedgerFull:
+      return AttemptEnd::kOverloaded;
+    case CallReason::kConnectFailed:
+      return AttemptEnd::kFailed;
+    default:
+      return AttemptEnd::kNotRun;
+  }
+}
+
+/// Placing a call elsewhere after these refusals adds no load to the upstreams: it never reached
+/// one. It costs no retry budget and is bounded by the number of attempts.
+bool FreeOfBudget(CallReason reason) {
+  return reason == CallReason::kDraining || reason == CallReason::kWrongIncarnation ||
+         reason == CallReason::kUnknownUpstream || reason == CallReason::kConnectFailed ||
+         reason == CallReason::kVoided;
+}
+
+/// The cause lies in the connection, so that the same upstream may be tried again.
+bool MayReuseEndpoint(CallReason reason) {
+  return reason == CallReason::kVoided || reason == CallReason::kSilent ||
+         reason == CallReason::kConnectionLost || reason == CallReason::kConnectFailed;
+}
+
+}  // namespace
+
+CallCoordinator::CallCoordinator(CallContext context, CallFacts facts)
+    : context_(std::move(context)), facts_(std::move(facts)) {}
+
+CallEffects CallCoordinator::Start(CallTime now) {
+  const CallDuration total = facts_.deadline.at() - now;
+  withdraw_at_ = facts_.deadline.at() - std::min<CallDuration>(kWithdrawMargin, total / 4);
+  if (facts_.deadline.ForNextHop(now).count() <= 0) {
+    Reply({Outcome::kNotRun, CallReason::kDeadline});
+    return Take();
+  }
+  const auto endpoint = PickEndpoint(now, false);
+  if (!endpoint) {
+    Reply({Outcome::kNotRun, CallReason::kNoEndpoint});
+    return Take();
+  }
+  Send(now, *endpoint);
+  if (facts_.depth == 0 && !facts_.pinned && context_.hedge->Ready()) {
+    slow_at_ = now + context_.hedge->Delay();
+  }
+  UpdateTimer();
+  return Take();
+}
+
+CallEffects CallCoordinator::OnHead(CallTime now, const CallId& id) {
+  Attempt* attempt = FindLive(id);
+  if (attempt == nullptr || head_sent_) return Take();
+  attempt->state = State::kStreaming;
+  attempt->head_latency = now - attempt->sent_at;
+  head_sent_ = true;
+  effects_.emplace_back(StreamAnswerOf{id});
+  context_.hedge->OnLatency(attempt->head_latency);
+  CancelLive(now, attempt);
+  return Take();
+}
+
+CallEffects CallCoordinator::OnFinished(CallTime now, const CallId& id,
+                                        const std::optional<LoadReport>& load) {
+  Attempt* attempt = FindLive(id);
+  if (attempt == nullptr) return Take();
+  if (attempt->state != State::kStreaming) return OnBroken(now, id);
+  context_.balancer->OnResult(
+      attempt->endpoint, now,
+      {AttemptEnd::kAnswered, attempt->head_latency, facts_.work_class, load});
+  attempt->state = State::kMayHaveRun;
+  context_.retry_budget->OnSuccess();
+  Reply({Outcome::kAnswered, CallReason::kNone});
+  return Take();
+}
+
+CallEffects CallCoordinator::OnBroken(CallTime now, const CallId& id) {
+  return OnUnknown(now, id, CallReason::kAnswerBroken);
+}
+
+CallEffects CallCoordinator::OnNotRun(CallTime now, const CallId& id, CallReason reason,
+                                      const std::optional<LoadReport>& load) {
+  Attempt* attempt = FindLive(id);
+  if (attempt == nullptr) return Take();
+  // A refused duplicate says nothing about the first copy.
+  if (!ProvesNotRun(reason)) return Take();
+  // A refusal after the head contradicts itself.
+  if (attempt->state == State::kStreaming) return OnBroken(now, id);
+  Settle(now, attempt, State::kNotRun, EndOfRefusal(reason), reason, load);
+  AfterSettled(now, reason);
+  return Take();
+}
+
+CallEffects CallCoordinator::OnUnknown(CallTime now, const CallId& id, CallReason reason) {
+  Attempt* attempt = FindLive(id);
+  if (attempt == nullptr) return Take();
+  Settle(now, attempt, State::kMayHaveRun, AttemptEnd::kFailed, reason);
+  AfterSettled(now, reason);
+  return Take();
+}
+
+CallEffects CallCoordinator::OnConnectionLost(CallTime now, const CallId& id, bool sent) {
+  Attempt* attempt = FindLive(id);
+  if (attempt == nullptr) return Take();
+  if (attempt->state == State::kStreaming) return OnBroken(now, id);
+  if (!sent) return OnNotRun(now, id, CallReason::kConnectFailed, std::nullopt);
+  if (facts_.idempotent && facts_.depth == 0) {
+    return OnUnknown(now, id, CallReason::kConnectionLost);
+  }
+  attempt->link = Link::kLost;
+  Resolve(attempt);
+  UpdateTimer();
+  return Take();
+}
+
+CallEffects CallCoordinator::OnSilent(CallTime now, const CallId& id) {
+  Attempt* attempt = FindLive(id);
+  if (attempt == nullptr || attempt->link != Link::kGood) return Take();
+  if (attempt->state == State::kStreaming) return OnBroken(now, id);
+  attempt->link = Link::kSilent;
+  last_reason_ = CallReason::kSilent;
+  const bool sent_again = facts_.idempotent && SendAgain(now, CallReason::kSilent);
+  // `SendAgain` may have moved the attempts.
+  if (!sent_again) Resolve(FindLive(id));
+  UpdateTimer();
+  return Take();
+}
+
+CallEffects CallCoordinator::OnResolved(CallTime now, const CallId& id, ResolveState state) {
+  Attempt* attempt = FindLive(id);
+  if (attempt == nullptr || attempt->state == State::kStreaming) return Take();
+  attempt->resolving = false;
+  if (state == ResolveState::kVoided) {
+    return OnNotRun(now, id, CallReason::kVoided, std::nullopt);
+  }
+  const bool may_answer = attempt->link == Link::kGood ||
+                          (attempt->link == Link::kSilent && state != ResolveState::kUnknown);
+  if (!may_answer) {
+    const bool lost = state == ResolveState::kFinished;
+    return OnUnknown(now, id, lost ? CallReason::kAnswerLost : CallReason::kConnectionLost);
+  }
+  if (attempt->link == Link::kSilent) {
+    if (state == ResolveState::kFinished) {
+      attempt->give_up_at = now + kLateAnswerGrace;
+    } else {
+      attempt->next_resolve = now + kLateAnswerGrace;
+    }
+  }
+  UpdateTimer();
+  return Take();
+}
+
+CallEffects CallCoordinator::OnResolveFailed(CallTime now, const CallId& id) {
+  Attempt* attempt = FindLive(id);
+  if (attempt == nullptr || attempt->state == State::kStreaming) return Take();
+  attempt->resolving = false;
+  ++attempt->failed_resolves;
+  if (attempt->failed_resolves < kMaxResolves) {
+    attempt->next_resolve = now + kResolveRetry;
+  } else if (attempt->link != Link::kGood) {
+    return OnUnknown(now, id, CallReason::kConnectionLost);
+  }
+  UpdateTimer();
+  return Take();
+}
+
+CallEffects CallCoordinator::OnTimer(CallTime now) {
+  timer_at_ = CallTime{};
+  if (done_ || head_sent_) return Take();
+  if (facts_.deadline.Expired(now)) {
+    CancelLive(now, nullptr);
+    ReplySettled(CallReason::kDeadline);
+    return Take();
+  }
+  if (!withdrawn_ && now >= withdraw_at_) WithdrawAll();
+  if (slow_at_ && now >= *slow_at_) OnSlow(now);
+  RunAttemptTimers(now);
+  UpdateTimer();
+  return Take();
+}
+
+CallEffects CallCoordinator::OnCallerAbandoned(CallTime now) {
+  if (done_) return Take();
+  CancelLive(now, nullptr);
+  done_ = true;
+  return Take();
+}
+
+CallCoordinator::Attempt* CallCoordinator::FindLive(const CallId& id) {
+  if (done_) return nullptr;
+  for (Attempt& it : attempts_) {
+    if (it.id == id && it.live()) return &it;
+  }
+  return nullptr;
+}
+
+bool CallCoordinator::AnyLive() const {
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [](const Attempt& it) { return it.live(); });
+}
+
+bool CallCoordinator::AllNotRun() const {
+  return std::all_of(attempts_.begin(), attempts_.end(),
+                     [](const Attempt& it) { return it.state == State::kNotRun; });
+}
+
+bool CallCoordinator::MayRetry(CallTime now) const {
+  if (done_ || head_sent_ || facts_.depth != 0) return false;
+  if (attempts_.size() >= kMaxAttempts || now >= withdraw_at_) return false;
+  if (facts_.deadline.ForNextHop(now).count() <= 0) return false;
+  return facts_.idempotent || AllNotRun();
+}
+
+std::optional<CallEndpoint> CallCoordinator::PickEndpoint(CallTime now, bool allow_tried) {
+  std::vector<CallEndpoint> tried;
+  for (const Attempt& it : attempts_) tried.push_back(it.endpoint);
+  if (facts_.pinned) {
+    const auto endpoint = context_.balancer->Find(facts_.service, *facts_.pinned);
+    const bool again = endpoint && std::find(tried.begin(), tried.end(), *endpoint) != tried.end();
+    return again && !allow_tried ? std::nullopt : endpoint;
+  }
+  auto endpoint = context_.balancer->Pick(facts_.service, now, *context_.rng, tried);
+  if (!endpoint && allow_tried) {
+    endpoint = context_.balancer->Pick(facts_.service, now, *context_.rng, {});
+  }
+  return endpoint;
+}
+
+void CallCoordinator::Send(CallTime now, const CallEndpoint& endpoint) {
+  Attempt attempt;
+  attempt.id = context_.next_id();
+  attempt.endpoint = endpoint;
+  attempt.sent_at = now;
+  attempts_.push_back(attempt);
+  context_.balancer->OnSent(endpoint, now);
+  effects_.emplace_back(SendAttempt{attempt.id, endpoint, facts_.deadline.ForNextHop(now)});
+}
+
+bool CallCoordinator::SendAgain(CallTime now, CallReason reason) {
+  if (!MayRetry(now)) return false;
+  const auto endpoint = PickEndpoint(now, MayReuseEndpoint(reason));
+  if (!endpoint) return false;
+  if (!FreeOfBudget(reason) && !context_.retry_budget->TryTake()) return false;
+  Send(now, *endpoint);
+  return true;
+}
+
+void CallCoordinator::Settle(CallTime now, Attempt* attempt, State state, AttemptEnd end,
+                             CallReason reason, const std::optional<LoadReport>& load) {
+  attempt->state = state;
+  last_reason_ = reason;
+  context_.balancer->OnResult(attempt->endpoint, now,
+                              {end, now - attempt->sent_at, facts_.work_class, load});
+}
+
+void CallCoordinator::AfterSettled(CallTime now, CallReason reason) {
+  if (head_sent_) {
+    // Only the attempt whose response is passed on can still be live then.
+    if (!AnyLive()) Reply({Outcome::kUnknown, reason});
+    return;
+  }
+  const bool live = AnyLive();
+  const bool good = std::any_of(attempts_.begin(), attempts_.end(), [](const Attempt& it) {
+    return it.live() && it.link == Link::kGood;
+  });
+  // An idempotent call whose remaining attempts are silent may still find an answer elsewhere.
+  const bool wants_attempt = !live || (!good && facts_.idempotent);
+  const bool sent = wants_attempt && SendAgain(now, reason);
+  if (!live && !sent) {
+    ReplySettled(reason);
+    return;
+  }
+  UpdateTimer();
+}
+
+void CallCoordinator::ReplySettled(CallReason reason) {
+  Reply({AllNotRun() ? Outcome::kNotRun : Outcome::kUnknown, reason});
+}
+
+void CallCoordinator::Resolve(Attempt* attempt) {
+  attempt->next_resolve.reset();
+  if (attempt->resolving) return;
+  attempt->resolving = true;
+  effects_.emplace_back(ResolveAttempt{attempt->id, attempt->endpoint});
+}
+
+void CallCoordinator::OnSlow(CallTime now) {
+  slow_at_.reset();
+  if (!MayMove(now)) return;
+  const auto endpoint = PickEndpoint(now, false);
+  if (!endpoint) return;
+  if (facts_.idempotent) {
+    if (facts_.hedge && context_.hedge->TryTake()) Send(now, *endpoint);
+    return;
+  }
+  if (attempts_.back().resolving || !context_.hedge->TryTake()) return;
+  // If the call still waits in the queue it is withdrawn and placed elsewhere.
+  Resolve(&attempts_.back());
+}
+
+bool CallCoordinator::MayMove(CallTime now) const {
+  if (facts_.depth != 0 || attempts_.size() >= kMaxAttempts || now >= withdraw_at_) return false;
+  const auto live = std::count_if(attempts_.begin(), attempts_.end(),
+                                  [](const Attempt& it) { return it.live(); });
+  return live == 1 && attempts_.back().live();
+}
+
+void CallCoordinator::WithdrawAll() {
+  withdrawn_ = true;
+  slow_at_.reset();
+  for (Attempt& it : attempts_) {
+    if (it.live()) Resolve(&it);
+  }
+}
+
+void CallCoordinator::RunAttemptTimers(CallTime now) {
+  // By index: a settled attempt may cause a new one to be appended.
+  for (size_t i = 0; i < attempts_.size() && !done_; ++i) {
+    Attempt& it = attempts_[i];
+    if (!it.live()) continue;
+    if (it.give_up_at && now >= *it.give_up_at) {
+      Settle(now, &it, State::kMayHaveRun, AttemptEnd::kFailed, CallReason::kAnswerLost);
+      AfterSettled(now, CallReason::kAnswerLost);
+    } else if (it.next_resolve && now >= *it.next_resolve) {
+      Resolve(&it);
+    }
+  }
+}
+
+void CallCoordinator::CancelLive(CallTime now, const Attempt* except) {
+  for (Attempt& it : attempts_) {
+    if (!it.live() || &it == except) continue;
+    it.state = State::kMayHaveRun;
+    context_.balancer->OnResult(
+        it.endpoint, now,
+        {AttemptEnd::kAbandoned, now - it.sent_at, facts_.work_class, std::nullopt});
+    effects_.emplace_back(CancelAttempt{it.id, it.endpoint});
+  }
+}
+
+void CallCoordinator::Reply(CallOutcome result) {
+  done_ = true;
+  effects_.emplace_back(ReplyOutcome{result, head_sent_});
+}
+
+void CallCoordinator::UpdateTimer() {
+  if (done_ || head_sent_) return;
+  CallTime at = withdrawn_ ? facts_.deadline.at() : withdraw_at_;
+  if (slow_at_) at = std::min(at, *slow_at_);
+  for (const Attempt& it : attempts_) {
+    if (!it.live()) continue;
+    if (it.next_resolve) at = std::min(at, *it.next_resolve);
+    if (it.give_up_at) at = std::min(at, *it.give_up_at);
+  }
+  if (at == timer_at_) return;
+  timer_at_ = at;
+  effects_.emplace_back(SetTimer{at});
+}
+
+CallEffects CallCoordinator::Take() { return std::exchange(effects_, {}); }
+
+}  // namespace camphorhoist
