--- /dev/null
+++ b/src/libplatform/call_meter.h
@@ -0,0 +1,65 @@
+#ifndef CAMPHORHOIST_LIBPLATFORM_CALL_METER_H_
+#define CAMPHORHOIST_LIBPLATFORM_CALL_METER_H_
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace camphorhoist {
+
+enum class StoreCall { kGet, kPut, kWatch, kList, kDelete };
+constexpr size_t kStoreCallKinds = 5;
+
+/// Lower-case name, for reports.
+const char* StoreCallName(StoreCall call);
+
+/// Figures of one kind of call. Latencies are in milliseconds and 0 before the first result; those
+/// of watches include the wait.
+struct CallStats {
+  uint64_t calls = 0;
+  /// Results without an answer of the platform (`kUnavailable`, `kUnknownEffect`).
+  uint64_t failures = 0;
+  /// Calls refused by the budget; not counted in `calls`.
+  uint64_t refused = 0;
+  double mean_ms = 0;
+  double p99_ms = 0;
+  double max_ms = 0;
+};
+
+/// Counts calls to the platform by kind. Thread safety: none.
+class CallMeter {
+ public:
+  void AddCall(StoreCall call) { ++At(call).calls; }
+  void AddRefusal(StoreCall call) { ++At(call).refused; }
+  void AddResult(StoreCall call, bool failed, std::chrono::microseconds latency);
+  CallStats Stats(StoreCall call) const;
+
+ private:
+  using Latency = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<
+                  boost::accumulators::tag::count, boost::accumulators::tag::mean,
+                  boost::accumulators::tag::max, boost::accumulators::tag::p_square_quantile>>;
+
+  struct Entry {
+    Entry();
+    uint64_t calls = 0;
+    uint64_t failures = 0;
+    uint64_t refused = 0;
+    Latency latency_ms;
+  };
+
+  Entry& At(StoreCall call) { return entries_[static_cast<size_t>(call)]; }
+
+  std::array<Entry, kStoreCallKinds> entries_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBPLATFORM_CALL_METER_H_
--- /dev/null
+++ b/src/standin_platform/main.cc
@@ -0,0 +1,108 @@
+// Stand-in for the platform's object API, see docs/operators/platform.md.
+
+#include <popt.h>
+#include <signal.h>
+
+#include <iostream>
+#include <string>
+
+#include "camphorhoist/finding.h"
+#include "camphorhoist/net_address.h"
+#include "libbase/event_ptr.h"
+#include "libbase/log.h"
+#include "standin_platform/platform_server.h"
+
+namespace camphorhoist {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+
+struct Settings {
+  std::string listen = "127.0.0.1:0";
+  std::string log_level = "info";
+};
+
+enum Option { kListen = 1, kLogLevel };
+
+// Runs until the event loop is stopped from the signal handler.
+struct Program {
+  event_base* base;
+  PlatformServer* server;
+};
+
+void OnSignal(evutil_socket_t, short, void* arg) {  // NOLINT(google-runtime-int): libevent
+  auto* program = static_cast<Program*>(arg);
+  event_base* base = program->base;
+  program->server->Stop([base] { event_base_loopbreak(base); });
+}
+
+void TakeOption(int option, const std::string& value, Settings* settings) {
+  if (option == kListen) settings->listen = value;
+  if (option == kLogLevel) settings->log_level = value;
+}
+
+Settings ParseArguments(int argc, const char** argv, Findings* findings) {
+  Settings settings;
+  const poptOption options[] = {
+      {"listen", 0, POPT_ARG_STRING, nullptr, kListen, "address to listen on", "IP:PORT"},
+      {"log-level", 0, POPT_ARG_STRING, nullptr, kLogLevel, "debug, info, warn or error", "LEVEL"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext context = poptGetContext("standin_platform", argc, argv, options, 0);
+  for (int i = 0; i <= argc; ++i) {
+    const int option = poptGetNextOpt(context);
+    if (option == -1) break;
+    if (option < -1) {
+      findings->Add(poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(option));
+      continue;
+    }
+    char* value = poptGetOptArg(context);
+    TakeOption(option, value, &settings);
+    free(value);  // NOLINT(cppcoreguidelines-no-malloc): allocated by popt
+  }
+  const char** rest = poptGetArgs(context);
+  for (; rest != nullptr && *rest != nullptr; ++rest) {
+    findings->Add(*rest, "is not a known argument");
+  }
+  poptFreeContext(context);
+  return settings;
+}
+
+int Serve(const NetAddress& address) {
+  EventBasePtr base(event_base_new());
+  PlatformServer server(base.get());
+  const std::error_code ec = server.Listen(address);
+  if (ec) {
+    std::cerr << "--listen " << address.ToString() << ": " << ec.message() << "\n";
+    return kExitFailure;
+  }
+  Program program{base.get(), &server};
+  EventPtr on_term(evsignal_new(base.get(), SIGTERM, &OnSignal, &program));
+  EventPtr on_int(evsignal_new(base.get(), SIGINT, &OnSignal, &program));
+  event_add(on_term.get(), nullptr);
+  event_add(on_int.get(), nullptr);
+  std::cout << "listening " << server.address().ToString() << std::endl;
+  event_base_dispatch(base.get());
+  LogEvent(LogLevel::kInfo, "standin_platform", "stopped").Add("objects", server.objects().size());
+  return kExitOk;
+}
+
+int Main(int argc, const char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  Findings findings;
+  const Settings settings = ParseArguments(argc, argv, &findings);
+  const auto address = NetAddress::Parse(settings.listen);
+  if (!address) findings.Add("--listen", "must be IP:PORT, is \"" + settings.listen + "\"");
+  ConfigureLogging(settings.log_level, "standin_platform", "--log-level", &findings);
+  if (!findings.empty()) {
+    std::cerr << findings.ToString() << "\n";
+    return kExitUsage;
+  }
+  return Serve(*address);
+}
+
+}  // namespace
+}  // namespace camphorhoist
+
+int main(int argc, char** argv) { return camphorhoist::Main(argc, const_cast<const char**>(argv)); }
