--- /dev/null
+++ b/src/camphorhoist/apply_command.cc
@@ -0,0 +1,183 @@
+#include <algorithm>
+#include <boost/uuid/random_generator.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "camphorhoist/cli_session.h"
+#include "camphorhoist/error.h"
+#include "camphorhoist/record_file.h"
+#include "liboperator/operator_json.h"
+
+namespace camphorhoist {
+
+namespace {
+
+using Json = nlohmann::json;
+using SteadyClock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+// Bounds one attempt, so that a node that fell silent leaves time for another one.
+constexpr milliseconds kMaxAttempt{5000};
+constexpr milliseconds kRepeatDelay{200};
+constexpr milliseconds kStatusPollPeriod{250};
+
+std::string DrawId() { return boost::uuids::to_string(boost::uuids::random_generator()()); }
+
+milliseconds Until(SteadyClock::time_point deadline) {
+  const auto left = std::chrono::duration_cast<milliseconds>(deadline - SteadyClock::now());
+  return std::max(left, milliseconds(1));
+}
+
+ChangeResult ApplyOnce(const CliSession& session, const ChangeRequest& request,
+                       milliseconds timeout) {
+  return session.Await<ChangeResult>([&](std::function<void(ChangeResult)> done) {
+    session.client.Apply(request, timeout, std::move(done));
+  });
+}
+
+// Repeats the same change set while its outcome is unknown. Once an attempt had an unknown outcome,
+// an unavailable node does not make the change known to be without effect.
+ChangeResult ApplyUntilKnown(const CliSession& session, const ChangeRequest& request) {
+  const auto deadline = SteadyClock::now() + session.arguments.timeout;
+  ChangeResult unknown;
+  unknown.id = request.id;
+  bool maybe_applied = false;
+  while (true) {
+    const ChangeResult result = ApplyOnce(session, request, std::min(Until(deadline), kMaxAttempt));
+    const bool undecided = !result.error && result.outcome == ChangeOutcome::kUnknown;
+    const bool unavailable = result.error == Errc::kUnavailable;
+    maybe_applied = maybe_applied || undecided;
+    if (!undecided && !(unavailable && maybe_applied)) return result;
+    if (undecided) unknown = result;
+    if (SteadyClock::now() + kRepeatDelay >= deadline) return unknown;
+    session.client.MoveToNextNode();
+    session.Sleep(kRepeatDelay);
+  }
+}
+
+struct WaitResult {
+  bool in_force = false;
+  /// Why the last look at the status was not enough.
+  std::vector<std::string> lagging;
+};
+
+WaitResult CheckStatus(const StatusResult& status, const ConfigVersion& version) {
+  WaitResult result;
+  if (status.error) {
+    result.lagging.push_back("status: " + status.error.message());
+    return result;
+  }
+  for (const MemberStatus& it : status.members) {
+    if (it.version >= version) continue;
+    std::string text = it.address + " has " + it.version.ToString();
+    if (!it.reason.empty()) text += " (" + it.reason + ")";
+    result.lagging.push_back(std::move(text));
+  }
+  if (status.members.empty()) result.lagging.emplace_back("status: lists no node");
+  result.in_force = result.lagging.empty();
+  return result;
+}
+
+WaitResult WaitUntilInForce(const CliSession& session, const ConfigVersion& version) {
+  const auto deadline = SteadyClock::now() + session.arguments.wait;
+  while (true) {
+    const auto status = session.Await<StatusResult>([&](std::function<void(StatusResult)> done) {
+      session.client.Status(std::min(Until(deadline), kMaxAttempt), std::move(done));
+    });
+    WaitResult result = CheckStatus(status, version);
+    if (result.in_force || SteadyClock::now() + kStatusPollPeriod >= deadline) return result;
+    session.Sleep(kStatusPollPeriod);
+  }
+}
+
+void PrintHuman(const CliSession& session, const ChangeResult& result) {
+  std::ostream& out = session.context.out;
+  if (result.error) {
+    session.context.err << result.error.message() << "\n";
+  } else if (result.outcome == ChangeOutcome::kAccepted) {
+    out << "accepted in version " << result.version.ToString() << "\n";
+  } else {
+    out << ChangeOutcomeName(result.outcome) << "\n";
+  }
+  if (!result.findings.empty()) session.context.err << result.findings.ToString() << "\n";
+}
+
+Json ChangeJson(const ChangeResult& result) {
+  Json json = Json::parse(WriteChangeResult(result));
+  if (result.error) json["error"] = result.error.message();
+  if (result.error) json["outcome"] = "none";
+  return json;
+}
+
+CliExit Report(const CliSession& session, const ChangeResult& result) {
+  if (session.arguments.json) {
+    session.context.out << ChangeJson(result).dump() << "\n";
+  } else {
+    PrintHuman(session, result);
+  }
+  return ExitOf(result);
+}
+
+CliExit ReportWithWait(const CliSession& session, const ChangeResult& result) {
+  if (!session.arguments.json) PrintHuman(session, result);
+  const WaitResult wait = WaitUntilInForce(session, result.version);
+  if (session.arguments.json) {
+    Json json = ChangeJson(result);
+    json["in_force"] = wait.in_force;
+    json["lagging"] = wait.lagging;
+    session.context.out << json.dump() << "\n";
+  } else if (wait.in_force) {
+    session.context.out << "in force on every node\n";
+  } else {
+    session.context.err << "not in force on every node:\n";
+    for (const std::string& it : wait.lagging) session.context.err << "  " << it << "\n";
+  }
+  return wait.in_force ? CliExit::kOk : CliExit::kWaitTimedOut;
+}
+
+// The id is shown before anything is sent, so that it is known when the program is interrupted. In
+// JSON mode standard output holds one document only.
+void PrintId(const CliSession& session, const std::string& id) {
+  std::ostream& out = session.arguments.json ? session.context.err : session.context.out;
+  out << "change set " << id << std::endl;
+}
+
+}  // namespace
+
+CliExit RunApply(const CliSession& session) {
+  const CliArguments& arguments = session.arguments;
+  Findings findings;
+  RecordFile file;
+  if (!arguments.file.empty()) {
+    file = ParseRecordFile(arguments.file, session.file_text, &findings);
+  }
+  ChangeRequest request;
+  request.id = arguments.id.empty() ? DrawId() : arguments.id;
+  request.body = BuildChangeBody(request.id, file, arguments.remove, arguments.allow_newer_schema);
+  if (request.body.size() > kMaxChangeBytes) {
+    findings.Add(arguments.file, "makes a change set of " + std::to_string(request.body.size()) +
+                                     " bytes, at most " + std::to_string(kMaxChangeBytes) +
+                                     " are allowed");
+  }
+  if (!findings.empty()) {
+    session.context.err << findings.ToString() << "\n";
+    return CliExit::kFindings;
+  }
+  PrintId(session, request.id);
+  const ChangeResult result = ApplyUntilKnown(session, request);
+  const bool accepted = !result.error && result.outcome == ChangeOutcome::kAccepted;
+  const bool wait = accepted && arguments.wait.count() > 0;
+  return wait ? ReportWithWait(session, result) : Report(session, result);
+}
+
+CliExit RunOutcome(const CliSession& session) {
+  const auto result = session.Await<ChangeResult>([&](std::function<void(ChangeResult)> done) {
+    session.client.ChangeSetOutcome(session.arguments.id, session.arguments.timeout,
+                                    std::move(done));
+  });
+  return Report(session, result);
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/camphorhoist/cli_args.cc
@@ -0,0 +1,313 @@
+#include "camphorhoist/cli_args.h"
+
+#include <popt.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <optional>
+#include <sstream>
+
+#include "libplatform/object_key.h"
+
+namespace camphorhoist {
+
+namespace {
+
+constexpr uint64_t kMaxTimeoutMs = 600000;
+constexpr uint64_t kMaxWaitSeconds = 3600;
+constexpr size_t kMaxNameBytes = 128;
+
+enum Option {
+  kFile = 1,
+  kRemove,
+  kId,
+  kWaitSeconds,
+  kAllowNewerSchema,
+  kNode,
+  kOutput,
+  kTimeoutMs,
+  kHelp
+};
+
+const poptOption kOptions[] = {
+    {"file", 'f', POPT_ARG_STRING, nullptr, kFile, "records file, - for standard input", "FILE"},
+    {"remove", 0, POPT_ARG_STRING, nullptr, kRemove, "record to remove; repeatable", "KIND/NAME"},
+    {"id", 0, POPT_ARG_STRING, nullptr, kId, "change set id; drawn at random by default", "ID"},
+    {"wait-seconds", 0, POPT_ARG_STRING, nullptr, kWaitSeconds,
+     "wait until the change is in force on every node", "N"},
+    {"allow-newer-schema", 0, POPT_ARG_NONE, nullptr, kAllowNewerSchema,
+     "accept records that some nodes cannot understand yet", nullptr},
+    {"node", 0, POPT_ARG_STRING, nullptr, kNode,
+     "operator addresses of nodes, separated by commas; default: CAMPHORHOIST_NODE",
+     "IP:PORT[,...]"},
+    {"output", 0, POPT_ARG_STRING, nullptr, kOutput, "human (default) or json", "FORMAT"},
+    {"timeout-ms", 0, POPT_ARG_STRING, nullptr, kTimeoutMs, "time limit, default 10000", "MS"},
+    {"help", 'h', POPT_ARG_NONE, nullptr, kHelp, "print this text", nullptr},
+    POPT_TABLEEND};
+
+const char kHelpTail[] = R"(
+Commands:
+  apply -f FILE [--remove KIND/NAME] [--id ID] [--wait-seconds N] [--allow-newer-schema]
+                      write records as one change set
+  get [KIND[/NAME]]   print the records in force
+  diff -f FILE        compare a file with the records in force
+  status              print the versions in force by data centre and node
+  dump                print the state of the node
+  outcome ID          print the outcome of an earlier change set
+  drain               start a graceful shutdown of the node
+
+Exit codes:
+  0  success
+  1  the input has findings, the change was rejected, nothing was found, or the file differs
+  2  the command line is wrong
+  3  conflict: a record was changed since it was read; nothing was applied
+  4  the outcome is not known; run the same command with the same --id, or `outcome ID`
+  5  no node was available; nothing was applied
+  6  the change was accepted but is not in force everywhere after --wait-seconds
+)";
+
+/// Names, flags and allowed arguments of a command.
+struct CommandRule {
+  const char* name;
+  CliCommand command;
+  size_t min_operands;
+  size_t max_operands;
+  bool takes_file;
+  bool takes_change_options;
+};
+
+constexpr CommandRule kCommands[] = {
+    {"apply", CliCommand::kApply, 0, 0, true, true},
+    {"get", CliCommand::kGet, 0, 1, false, false},
+    {"diff", CliCommand::kDiff, 0, 0, true, false},
+    {"status", CliCommand::kStatus, 0, 0, false, false},
+    {"dump", CliCommand::kDump, 0, 0, false, false},
+    {"outcome", CliCommand::kOutcome, 1, 1, false, false},
+    {"drain", CliCommand::kDrain, 0, 0, false, false},
+};
+
+struct PoptDeleter {
+  void operator()(poptContext context) const { poptFreeContext(context); }
+};
+using PoptPtr = std::unique_ptr<poptContext_s, PoptDeleter>;
+
+bool IsNamePart(const std::string& text) {
+  if (text.empty() || text.size() > kMaxNameBytes) return false;
+  return std::all_of(text.begin(), text.end(), [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
+  });
+}
+
+std::optional<RecordName> ParseRecordName(const std::string& text) {
+  const size_t slash = text.find('/');
+  if (slash == std::string::npos) return std::nullopt;
+  RecordName parsed{text.substr(0, slash), text.substr(slash + 1)};
+  if (!IsNamePart(parsed.kind) || !IsNamePart(parsed.name)) return std::nullopt;
+  return parsed;
+}
+
+/// Collects the arguments and their faults.
+class Parser {
+ public:
+  Parser(const std::string& node_setting, Findings* findings)
+      : node_setting_(node_setting), findings_(findings) {}
+
+  CliArguments Parse(const std::vector<std::string>& args) {
+    std::vector<const char*> argv = {"camphorhoist"};
+    for (const std::string& it : args) argv.push_back(it.c_str());
+    const auto argc = static_cast<int>(argv.size());
+    argv.push_back(nullptr);
+    const PoptPtr context(poptGetContext("camphorhoist", argc, argv.data(), kOptions, 0));
+    ReadOptions(context.get(), argc);
+    std::vector<std::string> operands;
+    const char** rest = poptGetArgs(context.get());
+    for (; rest != nullptr && *rest != nullptr; ++rest) operands.emplace_back(*rest);
+    if (result_.help) return result_;
+    ReadCommand(operands);
+    ReadNodes();
+    return result_;
+  }
+
+ private:
+  void ReadOptions(poptContext context, int argc) {
+    // Each turn consumes an argument, also one with a fault; the bound guards against a fault that
+    // popt reports without moving on.
+    for (int i = 0; i <= 2 * argc; ++i) {
+      const int option = poptGetNextOpt(context);
+      if (option == -1) return;
+      if (option < -1) {
+        findings_->Add(poptBadOption(context, 0), poptStrerror(option));
+        continue;
+      }
+      char* raw = poptGetOptArg(context);
+      const std::string value = raw == nullptr ? "" : raw;
+      std::free(raw);  // NOLINT(cppcoreguidelines-no-malloc): allocated by popt
+      TakeOption(option, value);
+    }
+  }
+
+  void TakeOption(int option, const std::string& value) {
+    switch (option) {
+      case kFile:
+        return TakeFile(value);
+      case kRemove:
+        return TakeRemove(value);
+      case kId:
+        return TakeId(value, "--id");
+      case kWaitSeconds:
+        result_.wait = std::chrono::seconds(TakeNumber("--wait-seconds", value, kMaxWaitSeconds));
+        return NoteChangeOption("--wait-seconds");
+      case kAllowNewerSchema:
+        result_.allow_newer_schema = true;
+        return NoteChangeOption("--allow-newer-schema");
+      case kNode:
+        node_option_ = value;
+        return;
+      case kOutput:
+        return TakeOutput(value);
+      case kTimeoutMs:
+        result_.timeout =
+            std::chrono::milliseconds(TakeNumber("--timeout-ms", value, kMaxTimeoutMs));
+        return;
+      default:
+        result_.help = true;
+    }
+  }
+
+  void NoteChangeOption(const char* name) { change_options_.emplace_back(name); }
+
+  void TakeFile(const std::string& value) {
+    if (value.empty()) findings_->Add("--file", "must not be empty");
+    if (!result_.file.empty()) findings_->Add("--file", "is given twice");
+    result_.file = value;
+  }
+
+  void TakeRemove(const std::string& value) {
+    NoteChangeOption("--remove");
+    const auto name = ParseRecordName(value);
+    if (!name) return findings_->Add("--remove", "must be KIND/NAME, is \"" + value + "\"");
+    result_.remove.push_back(*name);
+  }
+
+  void TakeId(const std::string& value, const char* place) {
+    if (std::string(place) == "--id") NoteChangeOption(place);
+    result_.id = value;
+    const bool valid = !value.empty() && value.size() <= kMaxNameBytes &&
+                       std::all_of(value.begin(), value.end(),
+                                   [](char c) { return c > ' ' && c <= '~' && c != '/'; });
+    if (valid) return;
+    findings_->Add(place, "must be 1-128 printable characters without blanks and slashes");
+  }
+
+  uint64_t TakeNumber(const char* place, const std::string& value, uint64_t max) {
+    const auto number = ParseNumber(value);
+    if (number && *number > 0 && *number <= max) return *number;
+    findings_->Add(place, "must be a whole number from 1 to " + std::to_string(max) + ", is \"" +
+                              value + "\"");
+    return 1;
+  }
+
+  void TakeOutput(const std::string& value) {
+    result_.json = value == "json";
+    if (value == "json" || value == "human") return;
+    findings_->Add("--output", "must be human or json, is \"" + value + "\"");
+  }
+
+  void ReadCommand(const std::vector<std::string>& operands) {
+    if (operands.empty()) return findings_->Add("command", "is missing, see --help");
+    const CommandRule* rule = nullptr;
+    for (const CommandRule& it : kCommands) {
+      if (operands[0] == it.name) rule = &it;
+    }
+    if (rule == nullptr) {
+      return findings_->Add("command", "\"" + operands[0] + "\" is not known, see --help");
+    }
+    result_.command = rule->command;
+    CheckOptions(*rule);
+    CheckOperands(*rule, operands);
+  }
+
+  void CheckOptions(const CommandRule& rule) {
+    const std::string not_taken = std::string("is not taken by ") + rule.name;
+    if (!rule.takes_file && !result_.file.empty()) findings_->Add("--file", not_taken);
+    if (!rule.takes_change_options) {
+      for (const std::string& it : change_options_) findings_->Add(it, not_taken);
+    }
+    if (!rule.takes_file || !result_.file.empty()) return;
+    // A change set may consist of removals only.
+    const bool optional = rule.takes_change_options && !result_.remove.empty();
+    if (!optional) findings_->Add("--file", std::string("is needed by ") + rule.name);
+  }
+
+  void CheckOperands(const CommandRule& rule, const std::vector<std::string>& operands) {
+    const size_t n = operands.size() - 1;
+    if (n < rule.min_operands) return findings_->Add(rule.name, "needs an ID");
+    for (size_t i = rule.max_operands + 1; i < operands.size(); ++i) {
+      findings_->Add(operands[i], "is one argument too many");
+    }
+    if (n == 0 || rule.max_operands == 0) return;
+    if (rule.command == CliCommand::kOutcome) return TakeId(operands[1], "ID");
+    TakeSelection(operands[1]);
+  }
+
+  void TakeSelection(const std::string& text) {
+    const auto name = ParseRecordName(text);
+    if (name) {
+      result_.selection = *name;
+    } else if (IsNamePart(text)) {
+      result_.selection.kind = text;
+    } else {
+      findings_->Add("get", "must be followed by KIND or KIND/NAME, is \"" + text + "\"");
+    }
+  }
+
+  void ReadNodes() {
+    const bool from_option = node_option_.has_value();
+    const char* place = from_option ? "--node" : "CAMPHORHOIST_NODE";
+    const std::string text = from_option ? *node_option_ : node_setting_;
+    if (text.empty()) return findings_->Add("--node", "is needed, or set CAMPHORHOIST_NODE");
+    std::istringstream in(text);
+    std::string item;
+    while (std::getline(in, item, ',')) {
+      const auto address = NetAddress::Parse(item);
+      if (address && address->port() > 0) {
+        result_.nodes.push_back(*address);
+      } else {
+        findings_->Add(place, "must hold IP:PORT, has \"" + item + "\"");
+      }
+    }
+  }
+
+  const std::string& node_setting_;
+  Findings* findings_;
+  CliArguments result_;
+  std::optional<std::string> node_option_;
+  std::vector<std::string> change_options_;
+};
+
+}  // namespace
+
+CliArguments ParseCliArguments(const std::vector<std::string>& args,
+                               const std::string& node_setting, Findings* findings) {
+  return Parser(node_setting, findings).Parse(args);
+}
+
+std::string CliHelp() {
+  const char* argv[] = {"camphorhoist", nullptr};
+  const PoptPtr context(poptGetContext("camphorhoist", 1, argv, kOptions, 0));
+  poptSetOtherOptionHelp(context.get(), "COMMAND [OPTION...]");
+  char* text = nullptr;
+  size_t size = 0;
+  FILE* out = open_memstream(&text, &size);
+  if (out == nullptr) return kHelpTail;
+  poptPrintHelp(context.get(), out, 0);
+  std::fclose(out);
+  const std::string help = std::string(text, size) + kHelpTail;
+  std::free(text);  // NOLINT(cppcoreguidelines-no-malloc): allocated by open_memstream
+  return help;
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/camphorhoist/cli_session.h
@@ -0,0 +1,59 @@
+#ifndef CAMPHORHOIST_CAMPHORHOIST_CLI_SESSION_H_
+#define CAMPHORHOIST_CAMPHORHOIST_CLI_SESSION_H_
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "camphorhoist/cli.h"
+#include "camphorhoist/cli_args.h"
+#include "libbase/event_ptr.h"
+#include "liboperator/operator_client.h"
+
+namespace camphorhoist {
+
+/// What the commands of one CLI run share.
+struct CliSession {
+  const CliContext& context;
+  const CliArguments& arguments;
+  OperatorClient& client;
+  /// Text of the records file, if there is one.
+  std::string file_text;
+
+  /// Starts a call and runs the event loop until its result is there.
+  template <typename Result>
+  Result Await(const std::function<void(std::function<void(Result)>)>& start) const {
+    std::optional<Result> result;
+    start([&result](Result value) { result = std::move(value); });
+    while (!result) event_base_loop(context.base, EVLOOP_ONCE);
+    return std::move(*result);
+  }
+
+  /// Runs the event loop for `duration`.
+  void Sleep(std::chrono::milliseconds duration) const {
+    bool done = false;
+    Timer timer(context.base, [&done] { done = true; });
+    timer.StartOnce(duration);
+    while (!done) event_base_loop(context.base, EVLOOP_ONCE);
+  }
+};
+
+/// One function per command.
+CliExit RunApply(const CliSession& session);
+CliExit RunGet(const CliSession& session);
+CliExit RunDiff(const CliSession& session);
+CliExit RunStatus(const CliSession& session);
+CliExit RunDump(const CliSession& session);
+CliExit RunOutcome(const CliSession& session);
+CliExit RunDrain(const CliSession& session);
+
+/// Prints a failed query to standard error and returns its exit code.
+CliExit ReportError(const CliSession& session, const std::error_code& error);
+/// Exit code of a change result.
+CliExit ExitOf(const ChangeResult& result);
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_CAMPHORHOIST_CLI_SESSION_H_
--- /dev/null
+++ b/src/camphorhoist/query_commands.cc
@@ -0,0 +1,187 @@
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "camphorhoist/cli_session.h"
+#include "camphorhoist/error.h"
+#include "camphorhoist/record_file.h"
+#include "liboperator/operator_json.h"
+
+namespace camphorhoist {
+
+namespace {
+
+using Json = nlohmann::json;
+
+RecordsResult FetchRecords(const CliSession& session, const RecordName& selection) {
+  const RecordsRequest request{selection.kind, selection.name};
+  return session.Await<RecordsResult>([&](std::function<void(RecordsResult)> done) {
+    session.client.Records(request, session.arguments.timeout, std::move(done));
+  });
+}
+
+/// A record that the file adds or changes.
+struct Difference {
+  RecordName name;
+  bool added = false;
+  /// JSON patch from the record in force to the one in the file.
+  Json patch;
+  Json in_force;
+};
+
+std::vector<Difference> Compare(const RecordFile& file, const RecordsResult& records) {
+  std::map<RecordName, Json> in_force;
+  for (const RecordEntry& it : records.records) {
+    Json record = Json::parse(it.record);
+    const RecordName name = NameOf(record);
+    in_force[name] = std::move(record);
+  }
+  std::vector<Difference> differences;
+  for (const Json& it : file.records) {
+    const RecordName name = NameOf(it);
+    const auto old = in_force.find(name);
+    if (old == in_force.end()) {
+      differences.push_back({name, true, Json::array(), Json()});
+    } else if (old->second != it) {
+      differences.push_back({name, false, Json::diff(old->second, it), old->second});
+    }
+  }
+  return differences;
+}
+
+void PrintField(const Json& step, const Json& in_force, std::ostream& out) {
+  const std::string path = step["path"].get<std::string>();
+  const Json::json_pointer pointer(path);
+  const std::string op = step["op"].get<std::string>();
+  out << "    " << path << ": ";
+  if (op == "add") {
+    out << "adds " << step["value"].dump();
+  } else if (op == "remove") {
+    out << "removes " << in_force.value(pointer, Json()).dump();
+  } else {
+    out << in_force.value(pointer, Json()).dump() << " -> " << step["value"].dump();
+  }
+  out << "\n";
+}
+
+void PrintDifferences(const std::vector<Difference>& differences, std::ostream& out) {
+  for (const Difference& it : differences) {
+    out << (it.added ? "added   " : "changed ") << it.name.ToString() << "\n";
+    for (const Json& step : it.patch) PrintField(step, it.in_force, out);
+  }
+  if (differences.empty()) out << "no differences\n";
+}
+
+Json DifferencesJson(const std::vector<Difference>& differences) {
+  Json items = Json::array();
+  for (const Difference& it : differences) {
+    items.push_back({{"kind", it.name.kind},
+                     {"name", it.name.name},
+                     {"change", it.added ? "added" : "changed"},
+                     {"patch", it.patch}});
+  }
+  return items;
+}
+
+void PrintStatus(const StatusResult& status, std::ostream& out) {
+  out << "node " << status.node << " version " << status.version.ToString() << "\n";
+  for (const DataCentreStatus& it : status.data_centres) {
+    out << "data centre " << it.name << ": " << it.nodes << " nodes,";
+    for (const auto& entry : it.versions) {
+      out << " " << entry.second << " at " << entry.first.ToString();
+    }
+    out << "\n";
+  }
+  for (const MemberStatus& it : status.members) {
+    out << std::left << std::setw(22) << it.address << std::setw(12) << it.data_centre
+        << std::setw(10) << it.version.ToString() << std::setw(10) << it.state << "age "
+        << it.age_ms << " ms";
+    if (!it.reason.empty()) out << "  " << it.reason;
+    out << "\n";
+  }
+}
+
+}  // namespace
+
+CliExit RunGet(const CliSession& session) {
+  const RecordName& selection = session.arguments.selection;
+  const RecordsResult records = FetchRecords(session, selection);
+  if (records.error) return ReportError(session, records.error);
+  std::ostream& out = session.context.out;
+  if (session.arguments.json) {
+    out << WriteRecords(records);
+  } else {
+    out << "version " << records.version.ToString() << "\n";
+    for (const RecordEntry& it : records.records) out << it.version << "  " << it.record << "\n";
+  }
+  if (selection.name.empty() || !records.records.empty()) return CliExit::kOk;
+  session.context.err << selection.ToString() << ": not found\n";
+  return CliExit::kFindings;
+}
+
+CliExit RunDiff(const CliSession& session) {
+  Findings findings;
+  const RecordFile file = ParseRecordFile(session.arguments.file, session.file_text, &findings);
+  for (size_t i = 0; i < file.records.size(); ++i) {
+    if (!NameOf(file.records[i]).name.empty()) continue;
+    findings.Add(session.arguments.file + "[" + std::to_string(i) + "]",
+                 "needs \"kind\" and \"name\"");
+  }
+  if (!findings.empty()) {
+    session.context.err << findings.ToString() << "\n";
+    return CliExit::kFindings;
+  }
+  const RecordsResult records = FetchRecords(session, RecordName());
+  if (records.error) return ReportError(session, records.error);
+  const std::vector<Difference> differences = Compare(file, records);
+  if (session.arguments.json) {
+    const Json json = {{"version", records.version.ToString()},
+                       {"differences", DifferencesJson(differences)}};
+    session.context.out << json.dump() << "\n";
+  } else {
+    PrintDifferences(differences, session.context.out);
+  }
+  return differences.empty() ? CliExit::kOk : CliExit::kFindings;
+}
+
+CliExit RunStatus(const CliSession& session) {
+  const auto status = session.Await<StatusResult>([&](std::function<void(StatusResult)> done) {
+    session.client.Status(session.arguments.timeout, std::move(done));
+  });
+  if (status.error) return ReportError(session, status.error);
+  if (session.arguments.json) {
+    session.context.out << WriteStatus(status);
+  } else {
+    PrintStatus(status, session.context.out);
+  }
+  return CliExit::kOk;
+}
+
+CliExit RunDump(const CliSession& session) {
+  const auto dump = session.Await<DumpResult>([&](std::function<void(DumpResult)> done) {
+    session.client.Dump(session.arguments.timeout, std::move(done));
+  });
+  if (dump.error) return ReportError(session, dump.error);
+  const Json json = Json::parse(dump.dump, nullptr, false);
+  if (json.is_discarded()) return ReportError(session, Errc::kUnavailable);
+  // Two blanks of indent make the dump readable; it is JSON in both formats.
+  session.context.out << json.dump(session.arguments.json ? -1 : 2) << "\n";
+  return CliExit::kOk;
+}
+
+CliExit RunDrain(const CliSession& session) {
+  const auto drain = session.Await<DrainResult>([&](std::function<void(DrainResult)> done) {
+    session.client.Drain(session.arguments.timeout, std::move(done));
+  });
+  if (drain.error) return ReportError(session, drain.error);
+  if (session.arguments.json) {
+    session.context.out << WriteDrain(drain);
+  } else {
+    session.context.out << (drain.draining ? "draining, " : "not draining, ") << drain.in_flight
+                        << " calls in flight\n";
+  }
+  return drain.draining ? CliExit::kOk : CliExit::kFindings;
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/liboperator/operator_json.cc
@@ -0,0 +1,276 @@
+#include "liboperator/operator_json.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libplatform/object_key.h"
+
+namespace camphorhoist {
+
+namespace {
+
+using Json = nlohmann::json;
+
+struct OutcomeName {
+  const char* name;
+  ChangeOutcome outcome;
+};
+
+constexpr OutcomeName kOutcomes[] = {{"accepted", ChangeOutcome::kAccepted},
+                                     {"conflict", ChangeOutcome::kConflict},
+                                     {"rejected", ChangeOutcome::kRejected},
+                                     {"unknown", ChangeOutcome::kUnknown}};
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+Json FindingsJson(const Findings& findings) {
+  Json items = Json::array();
+  for (const Finding& it : findings.items()) {
+    items.push_back({{"place", it.place()}, {"message", it.message()}});
+  }
+  return items;
+}
+
+Json MemberJson(const MemberStatus& member) {
+  return {{"address", member.address},
+          {"data_centre", member.data_centre},
+          {"version", member.version.ToString()},
+          {"age_ms", member.age_ms},
+          {"state", member.state},
+          {"reason", member.reason}};
+}
+
+Json DataCentreJson(const DataCentreStatus& data_centre) {
+  Json versions = Json::object();
+  for (const auto& it : data_centre.versions) versions[it.first.ToString()] = it.second;
+  return {{"name", data_centre.name}, {"nodes", data_centre.nodes}, {"versions", versions}};
+}
+
+/// Reads fields of one object and remembers whether any was missing or of another type.
+class Fields {
+ public:
+  explicit Fields(const Json& json) : json_(json), valid_(json.is_object()) {}
+
+  bool valid() const { return valid_; }
+  void Fail() { valid_ = false; }
+
+  std::string Text(const char* name) {
+    const Json* value = Find(name);
+    if (value != nullptr && value->is_string()) return value->get<std::string>();
+    valid_ = false;
+    return "";
+  }
+  uint64_t Number(const char* name) {
+    const Json* value = Find(name);
+    if (value != nullptr && value->is_number_unsigned()) return value->get<uint64_t>();
+    valid_ = false;
+    return 0;
+  }
+  bool Flag(const char* name) {
+    const Json* value = Find(name);
+    if (value != nullptr && value->is_boolean()) return value->get<bool>();
+    valid_ = false;
+    return false;
+  }
+  ConfigVersion Version(const char* name) {
+    const auto version = ParseVersion(Text(name));
+    if (!version) valid_ = false;
+    return version.value_or(ConfigVersion());
+  }
+  const Json& Array(const char* name) {
+    static const Json kEmpty = Json::array();
+    const Json* value = Find(name);
+    if (value != nullptr && value->is_array()) return *value;
+    valid_ = false;
+    return kEmpty;
+  }
+  const Json* Find(const char* name) const {
+    if (!json_.is_object()) return nullptr;
+    const auto it = json_.find(name);
+    return it == json_.end() ? nullptr : &*it;
+  }
+
+ private:
+  const Json& json_;
+  bool valid_;
+};
+
+Findings FindingsFrom(const Json& items, Fields* owner) {
+  Findings findings;
+  for (const Json& it : items) {
+    Fields fields(it);
+    std::string place = fields.Text("place");
+    std::string message = fields.Text("message");
+    if (!fields.valid()) owner->Fail();
+    findings.Add(std::move(place), std::move(message));
+  }
+  return findings;
+}
+
+MemberStatus MemberFrom(const Json& json, Fields* owner) {
+  Fields fields(json);
+  MemberStatus member;
+  member.address = fields.Text("address");
+  member.data_centre = fields.Text("data_centre");
+  member.version = fields.Version("version");
+  member.age_ms = static_cast<int64_t>(fields.Number("age_ms"));
+  member.state = fields.Text("state");
+  member.reason = fields.Text("reason");
+  if (!fields.valid()) owner->Fail();
+  return member;
+}
+
+DataCentreStatus DataCentreFrom(const Json& json, Fields* owner) {
+  Fields fields(json);
+  DataCentreStatus data_centre;
+  data_centre.name = fields.Text("name");
+  data_centre.nodes = fields.Number("nodes");
+  const Json* versions = fields.Find("versions");
+  if (versions == nullptr || !versions->is_object()) {
+    owner->Fail();
+    return data_centre;
+  }
+  for (const auto& it : versions->items()) {
+    const auto version = ParseVersion(it.key());
+    if (!version || !it.value().is_number_unsigned()) {
+      owner->Fail();
+      continue;
+    }
+    data_centre.versions[*version] = it.value().get<uint64_t>();
+  }
+  if (!fields.valid()) owner->Fail();
+  return data_centre;
+}
+
+}  // namespace
+
+const char* ChangeOutcomeName(ChangeOutcome outcome) {
+  for (const OutcomeName& it : kOutcomes) {
+    if (it.outcome == outcome) return it.name;
+  }
+  return "unknown";
+}
+
+std::optional<ChangeOutcome> ParseOutcome(const std::string& text) {
+  for (const OutcomeName& it : kOutcomes) {
+    if (text == it.name) return it.outcome;
+  }
+  return std::nullopt;
+}
+
+std::optional<ConfigVersion> ParseVersion(const std::string& text) {
+  const size_t dot = text.find('.');
+  if (dot == std::string::npos) return std::nullopt;
+  const auto epoch = ParseNumber(text.substr(0, dot));
+  const auto number = ParseNumber(text.substr(dot + 1));
+  if (!epoch || !number) return std::nullopt;
+  return ConfigVersion(*epoch, *number);
+}
+
+std::string WriteChangeResult(const ChangeResult& result) {
+  return Dump({{"outcome", ChangeOutcomeName(result.outcome)},
+               {"id", result.id},
+               {"version", result.version.ToString()},
+               {"findings", FindingsJson(result.findings)}});
+}
+
+std::string WriteRecords(const RecordsResult& result) {
+  Json records = Json::array();
+  for (const RecordEntry& it : result.records) {
+    records.push_back(
+        {{"version", it.version}, {"record", Json::parse(it.record, nullptr, false)}});
+  }
+  return Dump({{"version", result.version.ToString()}, {"records", std::move(records)}});
+}
+
+std::string WriteStatus(const StatusResult& result) {
+  Json members = Json::array();
+  for (const MemberStatus& it : result.members) members.push_back(MemberJson(it));
+  Json data_centres = Json::array();
+  for (const DataCentreStatus& it : result.data_centres) data_centres.push_back(DataCentreJson(it));
+  return Dump({{"node", result.node},
+               {"version", result.version.ToString()},
+               {"members", std::move(members)},
+               {"data_centres", std::move(data_centres)}});
+}
+
+std::string WriteDrain(const DrainResult& result) {
+  return Dump({{"draining", result.draining}, {"in_flight", result.in_flight}});
+}
+
+std::string WriteError(const std::string& message, const Findings& findings) {
+  return Dump({{"error", message}, {"findings", FindingsJson(findings)}});
+}
+
+std::optional<ChangeResult> ReadChangeResult(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  Fields fields(json);
+  ChangeResult result;
+  const auto outcome = ParseOutcome(fields.Text("outcome"));
+  result.id = fields.Text("id");
+  result.version = fields.Version("version");
+  result.findings = FindingsFrom(fields.Array("findings"), &fields);
+  if (!fields.valid() || !outcome) return std::nullopt;
+  result.outcome = *outcome;
+  return result;
+}
+
+std::optional<RecordsResult> ReadRecords(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  Fields fields(json);
+  RecordsResult result;
+  result.version = fields.Version("version");
+  for (const Json& it : fields.Array("records")) {
+    Fields entry(it);
+    RecordEntry record;
+    record.version = entry.Number("version");
+    const Json* body = entry.Find("record");
+    if (!entry.valid() || body == nullptr || !body->is_object()) return std::nullopt;
+    record.record = body->dump();
+    result.records.push_back(std::move(record));
+  }
+  if (!fields.valid()) return std::nullopt;
+  return result;
+}
+
+std::optional<StatusResult> ReadStatus(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  Fields fields(json);
+  StatusResult result;
+  result.node = fields.Text("node");
+  result.version = fields.Version("version");
+  for (const Json& it : fields.Array("members")) {
+    result.members.push_back(MemberFrom(it, &fields));
+  }
+  for (const Json& it : fields.Array("data_centres")) {
+    result.data_centres.push_back(DataCentreFrom(it, &fields));
+  }
+  if (!fields.valid()) return std::nullopt;
+  return result;
+}
+
+std::optional<DrainResult> ReadDrain(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  Fields fields(json);
+  DrainResult result;
+  result.draining = fields.Flag("draining");
+  result.in_flight = fields.Number("in_flight");
+  if (!fields.valid()) return std::nullopt;
+  return result;
+}
+
+Findings ReadError(const std::string& text, const std::string& place) {
+  const Json json = Json::parse(text, nullptr, false);
+  Fields fields(json);
+  Findings findings = FindingsFrom(fields.Array("findings"), &fields);
+  if (!fields.valid()) findings = Findings();
+  if (!findings.empty()) return findings;
+  Fields plain(json);
+  const std::string message = plain.Text("error");
+  findings.Add(place, message.empty() ? "the node gave no reason" : message);
+  return findings;
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/liboperator/operator_json.h
@@ -0,0 +1,32 @@
+#ifndef CAMPHORHOIST_LIBOPERATOR_OPERATOR_JSON_H_
+#define CAMPHORHOIST_LIBOPERATOR_OPERATOR_JSON_H_
+
+#include <optional>
+#include <string>
+
+#include "camphorhoist/operator_api.h"
+
+namespace camphorhoist {
+
+/// JSON texts of the operator API. The `Read` functions return nothing if the text has another
+/// form. Thread safety: safe from any thread.
+
+std::optional<ConfigVersion> ParseVersion(const std::string& text);
+std::optional<ChangeOutcome> ParseOutcome(const std::string& text);
+
+std::string WriteChangeResult(const ChangeResult& result);
+std::string WriteRecords(const RecordsResult& result);
+std::string WriteStatus(const StatusResult& result);
+std::string WriteDrain(const DrainResult& result);
+std::string WriteError(const std::string& message, const Findings& findings);
+
+std::optional<ChangeResult> ReadChangeResult(const std::string& text);
+std::optional<RecordsResult> ReadRecords(const std::string& text);
+std::optional<StatusResult> ReadStatus(const std::string& text);
+std::optional<DrainResult> ReadDrain(const std::string& text);
+/// The findings of an error answer; a message without findings becomes one at `place`.
+Findings ReadError(const std::string& text, const std::string& place);
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBOPERATOR_OPERATOR_JSON_H_
