--- /dev/null
+++ b/src/camphorhoistd/call_task.cc
@@ -0,0 +1,155 @@
+#include "camphorhoistd/call_task.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "camphorhoistd/proxied_call.h"
+
+namespace camphorhoist {
+
+namespace {
+
+constexpr char kTimeoutHeader[] = "X-Camphorhoist-Timeout-Ms";
+constexpr char kDepthHeader[] = "X-Camphorhoist-Depth";
+constexpr int64_t kMaxTimeoutMs = 24LL * 60 * 60 * 1000;
+constexpr int64_t kMaxDepth = 64;
+
+CallTime Now() { return std::chrono::steady_clock::now(); }
+
+/// Value of a numeric header, bounded to `max`; `absent` if it is missing or malformed.
+int64_t NumberHeader(const CallRequest& request, const char* name, int64_t max, int64_t absent) {
+  const auto it =
+      std::find_if(request.headers.begin(), request.headers.end(), [name](const auto& header) {
+        return strcasecmp(header.first.c_str(), name) == 0;
+      });
+  if (it == request.headers.end() || it->second.empty() || it->second.size() > 12) return absent;
+  if (it->second.find_first_not_of("0123456789") != std::string::npos) return absent;
+  return std::min<int64_t>(std::stoll(it->second), max);
+}
+
+}  // namespace
+
+CallTask::CallTask(event_base* base, Options options, std::mt19937_64* rng,
+                   CallTransport* transport, const EndpointTable* endpoints)
+    : base_(base),
+      options_(std::move(options)),
+      rng_(rng),
+      transport_(transport),
+      endpoints_(endpoints),
+      balancer_(*Balancer::Create(options_.balancer)),
+      origin_((*rng)()),
+      free_(base, [this] { ended_.clear(); }) {}
+
+CallTask::~CallTask() {
+  calls_.clear();
+  ended_.clear();
+}
+
+void CallTask::SetSnapshot(Snapshot::Ptr snapshot) {
+  snapshot_ = std::move(snapshot);
+  candidates_stale_ = true;
+}
+
+CallReason CallTask::RefusalOfNewCall() const {
+  if (draining_) return CallReason::kDraining;
+  if (!snapshot_) return CallReason::kNoConfiguration;
+  if (calls_.size() >= options_.max_calls) return CallReason::kOverloaded;
+  size_t buffered = 0;
+  for (const auto& it : calls_) buffered += it.first->buffered_bytes();
+  return buffered > options_.max_buffered_bytes ? CallReason::kOverloaded : CallReason::kNone;
+}
+
+void CallTask::OnCall(CallRequest request, std::shared_ptr<CallReply> reply) {
+  ++counters_.received;
+  CallReason refusal = RefusalOfNewCall();
+  std::optional<RouteMatch> match;
+  if (refusal == CallReason::kNone) {
+    match = snapshot_->MatchRoute(request.method, request.host, request.path);
+    if (!match) refusal = CallReason::kNoRoute;
+  }
+  if (refusal != CallReason::kNone) {
+    ++counters_.not_run;
+    SendOutcome(reply.get(), {Outcome::kNotRun, refusal});
+    return;
+  }
+  RefreshCandidates();
+  const Destination& destination = ChooseDestination(match->destinations());
+  ProxiedCall::Parts parts;
+  parts.facts = MakeFacts(request, *match, destination);
+  parts.route = match->route->name();
+  const ServiceSettings* service = snapshot_->FindService(destination.service);
+  parts.max_queue_ms = static_cast<uint32_t>(service->max_queue_ms);
+  parts.snapshot = snapshot_;
+  parts.request = std::move(request);
+  parts.reply = std::move(reply);
+  auto call = std::make_unique<ProxiedCall>(this, std::move(parts));
+  ProxiedCall* raw = call.get();
+  calls_.emplace(raw, std::move(call));
+  raw->Start();
+}
+
+const Destination& CallTask::ChooseDestination(const std::vector<Destination>& destinations) {
+  if (destinations.size() == 1) return destinations.front();
+  int64_t total = 0;
+  for (const Destination& it : destinations) total += it.weight;
+  int64_t value = std::uniform_int_distribution<int64_t>(0, total - 1)(*rng_);
+  for (const Destination& it : destinations) {
+    if (value < it.weight) return it;
+    value -= it.weight;
+  }
+  return destinations.back();
+}
+
+CallFacts CallTask::MakeFacts(const CallRequest& request, const RouteMatch& match,
+                              const Destination& destination) {
+  CallFacts facts;
+  facts.service = destination.service;
+  if (!destination.endpoint.empty()) {
+    facts.pinned = snapshot_->FindEndpoint(destination.endpoint)->address;
+  }
+  facts.idempotent = match.idempotent;
+  facts.work_class = classifier_.Classify(match.route->name());
+  facts.depth = static_cast<uint32_t>(NumberHeader(request, kDepthHeader, kMaxDepth, 0));
+  const int64_t timeout =
+      std::min(match.timeout_ms(),
+               NumberHeader(request, kTimeoutHeader, kMaxTimeoutMs, match.timeout_ms()));
+  facts.deadline = Deadline::After(Now(), std::chrono::milliseconds(timeout));
+  facts.hedge = options_.hedging && snapshot_->FindService(destination.service)->hedge;
+  return facts;
+}
+
+// Only services of the snapshot have candidates, so that no route leads to an endpoint that this
+// node does not have.
+void CallTask::RefreshCandidates() {
+  if (!candidates_stale_) return;
+  candidates_stale_ = false;
+  std::vector<BalancerCandidate> candidates;
+  for (const std::string& service : snapshot_->ServiceNames()) {
+    for (const EndpointRef& it : *endpoints_->Find(service)) {
+      const EndpointSettings* settings = snapshot_->FindEndpointAt(service, it.info.upstream);
+      if (settings != nullptr && !settings->enabled) continue;
+      BalancerCandidate candidate;
+      candidate.endpoint = {service, it.info.upstream, it.node, it.incarnation};
+      candidate.tier = it.tier;
+      candidate.weight = static_cast<uint32_t>(
+          settings != nullptr ? settings->weight : kDefaultEndpointWeight);
+      candidate.slots = it.info.slots;
+      candidates.push_back(std::move(candidate));
+    }
+  }
+  balancer_.SetCandidates(candidates);
+}
+
+void CallTask::Remove(ProxiedCall* call) {
+  const auto it = calls_.find(call);
+  if (it == calls_.end()) return;
+  // The call may be on the stack.
+  ended_.push_back(std::move(it->second));
+  calls_.erase(it);
+  free_.StartOnce(std::chrono::microseconds(0));
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/camphorhoistd/call_transport.cc
@@ -0,0 +1,140 @@
+#include "camphorhoistd/call_transport.h"
+
+#include <chrono>
+#include <functional>
+#include <utility>
+
+namespace camphorhoist {
+
+namespace {
+
+/// Bound of a resolve request with its connection set-up.
+constexpr std::chrono::milliseconds kResolveTimeout{500};
+
+}  // namespace
+
+/// Passes the answer of a call of this process to its handler. All callbacks run from the mailbox,
+/// in order, so that the handler is not entered from inside `Call`.
+class CallTransport::LocalCall final : public AnswerWriter,
+                                       public std::enable_shared_from_this<LocalCall> {
+ public:
+  LocalCall(Mailbox<std::function<void()>>* deferred, AnswerHandler* handler)
+      : deferred_(deferred), handler_(handler) {}
+
+  void Head(int status, HttpHeaders headers) override {
+    Defer([this, status, headers = std::move(headers)] { handler_->OnHead(status, headers); });
+  }
+
+  void Chunk(std::string data) override {
+    if (handler_ == nullptr) return;
+    buffered_bytes_ += data.size();
+    Defer([this, data = std::move(data)] {
+      const size_t size = data.size();
+      handler_->OnChunk(data, [self = shared_from_this(), size] { self->Taken(size); });
+    });
+  }
+
+  void End() override {
+    Defer([this] { handler_->OnEnd(); });
+  }
+
+  void Done(NodeCallResult result) override {
+    Defer([this, result = std::move(result)] {
+      AnswerHandler* handler = handler_;
+      Detach();
+      if (on_done_) on_done_();
+      handler->OnDone(PeerCallStatus::kResult, result);
+    });
+  }
+
+  size_t buffered_bytes() const override { return buffered_bytes_; }
+  void SetOnWritable(std::function<void()> callback) override {
+    on_writable_ = std::move(callback);
+  }
+  void SetOnCancelled(std::function<void()> callback) override {
+    on_cancelled_ = std::move(callback);
+  }
+  void SetOnDone(std::function<void()> callback) { on_done_ = std::move(callback); }
+
+  /// Ends all callbacks to the handler and tells the upstream side.
+  void Cancel() {
+    const auto callback = std::move(on_cancelled_);
+    Detach();
+    if (callback) callback();
+  }
+
+ private:
+  void Detach() {
+    handler_ = nullptr;
+    on_cancelled_ = nullptr;
+    on_writable_ = nullptr;
+  }
+
+  void Defer(std::function<void()> action) {
+    deferred_->Post([self = shared_from_this(), action = std::move(action)] {
+      if (self->handler_ != nullptr) action();
+    });
+  }
+
+  void Taken(size_t size) {
+    buffered_bytes_ -= size;
+    if (buffered_bytes_ == 0 && on_writable_) on_writable_();
+  }
+
+  Mailbox<std::function<void()>>* deferred_;
+  AnswerHandler* handler_;
+  size_t buffered_bytes_ = 0;
+  std::function<void()> on_writable_;
+  std::function<void()> on_cancelled_;
+  std::function<void()> on_done_;
+};
+
+CallTransport::CallTransport(event_base* base, NetAddress self, PeerPool* peers,
+                             NodeService* local)
+    : self_(std::move(self)),
+      peers_(peers),
+      service_(local),
+      deferred_(base, [](const std::function<void()>& action) { action(); }) {}
+
+CallTransport::~CallTransport() = default;
+
+CallTransport::Handle CallTransport::Call(const NetAddress& node, bool bulk,
+                                          const NodeCallRequest& request,
+                                          AnswerHandler* handler) {
+  const Handle handle = next_++;
+  Entry& entry = calls_[handle];
+  if (node != self_) {
+    entry.remote = peers_->Call(node, bulk, request, handler);
+    return handle;
+  }
+  auto local = std::make_shared<LocalCall>(&deferred_, handler);
+  local->SetOnDone([this, handle] { calls_.erase(handle); });
+  entry.local = local;
+  service_->OnCall(request, local);
+  return handle;
+}
+
+void CallTransport::Cancel(Handle handle) {
+  const auto it = calls_.find(handle);
+  if (it == calls_.end()) return;
+  const Entry entry = std::move(it->second);
+  calls_.erase(it);
+  if (entry.local) {
+    entry.local->Cancel();
+  } else {
+    peers_->Cancel(entry.remote);
+  }
+}
+
+void CallTransport::Resolve(const NetAddress& node, const CallId& id, uint64_t target_incarnation,
+                            PeerPool::ResolveCallback callback) {
+  if (node != self_) {
+    peers_->Resolve(node, id, target_incarnation, kResolveTimeout, std::move(callback));
+    return;
+  }
+  deferred_.Post([this, id, target_incarnation, callback = std::move(callback)] {
+    callback({}, service_->OnResolve(id, target_incarnation));
+  });
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/camphorhoistd/member_task.h
@@ -0,0 +1,75 @@
+#ifndef CAMPHORHOIST_CAMPHORHOISTD_MEMBER_TASK_H_
+#define CAMPHORHOIST_CAMPHORHOISTD_MEMBER_TASK_H_
+
+#include <functional>
+#include <random>
+#include <string>
+#include <system_error>
+#include <variant>
+#include <vector>
+
+#include "camphorhoist/endpoint_table.h"
+#include "camphorhoist/membership.h"
+#include "libbase/event_ptr.h"
+#include "libbase/mailbox.h"
+#include "libnode/datagram_socket.h"
+
+namespace camphorhoist {
+
+/// Messages of the member task to the configuration task.
+using MemberNews = std::variant<VersionHeard, MemberChanged, DataCentreChanged>;
+
+/// Owns the datagram socket, the membership and the endpoint table.
+///
+/// Thread safety: none; use on the loop's thread.
+class MemberTask {
+ public:
+  /// Preconditions: `base`, `rng` and `news` outlive the task. `options.self` holds the bound port.
+  MemberTask(event_base* base, MembershipOptions options, std::mt19937_64* rng,
+             Mailbox<MemberNews>* news);
+  MemberTask(const MemberTask&) = delete;
+  MemberTask& operator=(const MemberTask&) = delete;
+
+  /// Binds the UDP port and starts the membership.
+  std::error_code Start();
+
+  /// Publishes the configuration part of the own entry.
+  void PublishConfig(const ConfigVersion& version, const std::string& hash,
+                     const std::string& refusal);
+  /// Publishes the endpoints of the own node.
+  void PublishEndpoints(std::vector<EndpointInfo> endpoints);
+  /// Tells the other members that this node takes no new work.
+  void StartDraining();
+  /// Tells the other members that this node leaves.
+  void Leave();
+  void Announce(const MemberId& to);
+  void SetHeadConfirmed(MemberTime at) { membership_.SetHeadConfirmed(at); }
+
+  /// `listener` runs after each change of the endpoint table.
+  void SetEndpointListener(std::function<void()> listener);
+
+  const Membership& membership() const { return membership_; }
+  const EndpointTable& endpoints() const { return endpoints_; }
+  const DatagramSocket& socket() const { return socket_; }
+  uint64_t malformed() const { return malformed_; }
+
+ private:
+  void OnDatagram(const NetAddress& from, const std::string& data);
+  void Publish();
+  void Carry(const MemberEffects& effects);
+  void Send(const SendMessage& send);
+
+  NetAddress self_;
+  std::mt19937_64* rng_;
+  Mailbox<MemberNews>* news_;
+  Membership membership_;
+  EndpointTable endpoints_;
+  SelfState state_;
+  uint64_t malformed_ = 0;
+  DatagramSocket socket_;
+  Timer tick_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_CAMPHORHOISTD_MEMBER_TASK_H_
--- /dev/null
+++ b/src/camphorhoistd/upstream_task.cc
@@ -0,0 +1,441 @@
+#include "camphorhoistd/upstream_task.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "libbase/log.h"
+
+namespace camphorhoist {
+
+namespace {
+
+constexpr std::chrono::milliseconds kTickPeriod{10};
+/// Bytes of an answer held for a slow caller-side node before the upstream is not read any more.
+constexpr size_t kPauseBytes = 256 << 10;
+
+CallTime Now() { return std::chrono::steady_clock::now(); }
+
+uint32_t Micros(CallDuration duration) {
+  const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+  return static_cast<uint32_t>(std::clamp<int64_t>(micros, 0, UINT32_MAX));
+}
+
+EndpointState ToEndpointState(UpstreamState state) {
+  switch (state) {
+    case UpstreamState::kWarming:
+      return EndpointState::kWarming;
+    case UpstreamState::kServing:
+      return EndpointState::kServing;
+    case UpstreamState::kDraining:
+      return EndpointState::kDraining;
+  }
+  return EndpointState::kDown;
+}
+
+NodeCallResult MakeResult(NodeOutcome outcome, CallReason reason) {
+  NodeCallResult result;
+  result.outcome = outcome;
+  result.reason = std::string(ToText(reason));
+  return result;
+}
+
+/// How a result of the upstream client counts for the admission and for the sender.
+struct ResultRule {
+  UpstreamResult result;
+  FinishKind kind;
+  NodeOutcome outcome;
+  CallReason reason;
+};
+
+constexpr ResultRule kResultRules[] = {
+    {UpstreamResult::kWhole, FinishKind::kOk, NodeOutcome::kAnswered, CallReason::kNone},
+    {UpstreamResult::kNeverSent, FinishKind::kError, NodeOutcome::kNotRun,
+     CallReason::kConnectFailed},
+    {UpstreamResult::kNoWholeAnswer, FinishKind::kError, NodeOutcome::kUnknown,
+     CallReason::kAnswerBroken},
+    {UpstreamResult::kTimedOut, FinishKind::kError, NodeOutcome::kUnknown, CallReason::kDeadline},
+    {UpstreamResult::kShed, FinishKind::kShed, NodeOutcome::kNotRun, CallReason::kShed},
+};
+
+const ResultRule& RuleOf(UpstreamResult result) {
+  const auto* const it =
+      std::find_if(std::begin(kResultRules), std::end(kResultRules),
+                   [result](const ResultRule& rule) { return rule.result == result; });
+  return *it;
+}
+
+}  // namespace
+
+/// One upstream with its gate and its connections.
+class UpstreamTask::Upstream {
+ public:
+  Upstream(event_base* base, const Options& options, const Announcement& announcement_in)
+      : announcement(announcement_in),
+        client(base, announcement.address, static_cast<size_t>(announcement.connections)),
+        gate(*UpstreamGate::Create(options.admission, GateOptionsOf(options, announcement), Now())) {
+    client.SetAcceptsCancel(announcement.accepts_cancel);
+  }
+
+  Announcement announcement;
+  UpstreamClient client;
+  UpstreamGate gate;
+
+ private:
+  static GateOptions GateOptionsOf(const Options& options, const Announcement& announcement) {
+    GateOptions gate;
+    gate.slots = static_cast<uint32_t>(announcement.slots);
+    gate.connections = static_cast<uint32_t>(announcement.connections);
+    gate.incarnation = options.incarnation;
+    return gate;
+  }
+};
+
+/// One call that waits for or runs on an upstream.
+class UpstreamTask::Call final : public ResponseSink {
+ public:
+  Call(UpstreamTask* owner, UpstreamPtr upstream, NodeCallRequest request,
+       std::shared_ptr<AnswerWriter> writer)
+      : upstream_(std::move(upstream)),
+        request_(std::move(request)),
+        owner_(owner),
+        writer_(std::move(writer)),
+        arrived_(Now()) {}
+
+  ~Call() override {
+    writer_->SetOnCancelled(nullptr);
+    writer_->SetOnWritable(nullptr);
+  }
+
+  const CallId& id() const { return request_.id; }
+  const UpstreamPtr& upstream() const { return upstream_; }
+  AnswerWriter* writer() const { return writer_.get(); }
+  CallTime started() const { return started_; }
+  CallTime arrived() const { return arrived_; }
+
+  GateCall Facts() const {
+    GateCall call;
+    call.id = request_.id;
+    call.target_incarnation = request_.target_incarnation;
+    call.deadline = arrived_ + std::chrono::milliseconds(request_.timeout_ms);
+    call.work_class = request_.long_work ? WorkClass::kLong : WorkClass::kShort;
+    call.idempotent = request_.idempotent;
+    call.max_queue = std::chrono::milliseconds(request_.max_queue_ms);
+    return call;
+  }
+
+  void Start() {
+    started_ = Now();
+    UpstreamRequest request;
+    request.method = request_.method;
+    request.target = request_.target;
+    request.headers = std::move(request_.headers);
+    request.body = std::move(request_.body);
+    request.call_id = request_.id;
+    request.depth = static_cast<int>(request_.depth);
+    request.timeout = Remaining();
+    handle_ = upstream_->client.Start(std::move(request), this);
+  }
+
+  void Abort() {
+    upstream_->client.Cancel(handle_);
+    handle_ = 0;
+  }
+
+  void OnHead(int status, HttpHeaders headers) override {
+    upstream_->gate.OnHead(id());
+    writer_->Head(status, std::move(headers));
+    writer_->SetOnWritable([this] { Resume(); });
+  }
+
+  void OnData(std::string data) override {
+    writer_->Chunk(std::move(data));
+    if (paused_ || writer_->buffered_bytes() < kPauseBytes) return;
+    paused_ = true;
+    upstream_->client.Pause(handle_);
+  }
+
+  void OnEnd(UpstreamResult result, const std::string& detail) override {
+    handle_ = 0;
+    if (result == UpstreamResult::kWhole) writer_->End();
+    const ResultRule& rule = RuleOf(result);
+    if (rule.outcome == NodeOutcome::kUnknown) {
+      LogEvent(LogLevel::kInfo, "upstream", "call_failed")
+          .Add("call", id().ToString())
+          .Add("upstream", upstream_->announcement.address.ToString())
+          .Add("result", ToString(result))
+          .Add("detail", detail);
+    }
+    owner_->Finish(this, rule.kind, MakeResult(rule.outcome, rule.reason));
+  }
+
+ private:
+  std::chrono::milliseconds Remaining() const {
+    const Deadline deadline(arrived_ + std::chrono::milliseconds(request_.timeout_ms));
+    return std::max(deadline.ForNextHop(started_), std::chrono::milliseconds(1));
+  }
+
+  void Resume() {
+    if (!paused_ || handle_ == 0) return;
+    paused_ = false;
+    upstream_->client.Resume(handle_);
+  }
+
+  UpstreamPtr upstream_;
+  NodeCallRequest request_;
+  UpstreamTask* owner_;
+  std::shared_ptr<AnswerWriter> writer_;
+  CallTime arrived_;
+  CallTime started_{};
+  UpstreamClient::Handle handle_ = 0;
+  bool paused_ = false;
+};
+
+UpstreamTask::UpstreamTask(event_base* base, Options options, EndpointListener listener)
+    : base_(base),
+      options_(std::move(options)),
+      listener_(std::move(listener)),
+      inbox_(base, [this](const UpstreamMessage& message) { OnAnnouncement(message); }),
+      announcements_(base, &inbox_),
+      free_(base, [this] { ended_.clear(); }),
+      tick_(base, [this] { Tick(); }) {
+  tick_.StartPeriodic(kTickPeriod);
+}
+
+UpstreamTask::~UpstreamTask() {
+  calls_.clear();
+  ended_.clear();
+}
+
+void UpstreamTask::OnAnnouncement(const UpstreamMessage& message) {
+  if (const auto* announced = std::get_if<UpstreamAnnounced>(&message)) {
+    Announced(announced->announcement);
+  } else if (const auto* draining = std::get_if<UpstreamDraining>(&message)) {
+    Draining(draining->announcement);
+  } else if (const auto* left = std::get_if<UpstreamLeft>(&message)) {
+    Left(left->announcement);
+  }
+  // Reported load is not used: the gate observes queue and service time itself.
+}
+
+void UpstreamTask::Announced(const Announcement& announcement) {
+  UpstreamPtr& upstream = upstreams_[announcement.address];
+  if (upstream && upstream->announcement.slots == announcement.slots &&
+      upstream->announcement.connections == announcement.connections &&
+      upstream->announcement.instance == announcement.instance) {
+    upstream->announcement = announcement;
+  } else {
+    if (upstream) Retire(std::move(upstream));
+    upstream = std::make_shared<Upstream>(base_, options_, announcement);
+    if (draining_) upstream->gate.Drain(Now(), DrainMode::kNodeStops);
+  }
+  LogEvent(LogLevel::kInfo, "upstream", "announced")
+      .Add("service", announcement.service)
+      .Add("upstream", announcement.address.ToString())
+      .Add("state", ToString(announcement.state));
+  Publish();
+}
+
+void UpstreamTask::Draining(const Announcement& announcement) {
+  const auto it = upstreams_.find(announcement.address);
+  if (it == upstreams_.end()) return;
+  const UpstreamPtr upstream = it->second;
+  upstream->announcement = announcement;
+  LogEvent(LogLevel::kInfo, "upstream", "draining")
+      .Add("upstream", announcement.address.ToString());
+  // The new state goes out before the queue is refused, so that refused calls are not sent back.
+  Publish();
+  Carry(upstream.get(), upstream->gate.Drain(Now(), DrainMode::kUpstreamLeaves));
+}
+
+void UpstreamTask::Left(const Announcement& announcement) {
+  const auto it = upstreams_.find(announcement.address);
+  if (it == upstreams_.end()) return;
+  if (it->second->announcement.instance != announcement.instance) return;
+  const UpstreamPtr upstream = it->second;
+  upstreams_.erase(it);
+  LogEvent(LogLevel::kInfo, "upstream", "left").Add("upstream", announcement.address.ToString());
+  Publish();
+  Retire(upstream);
+}
+
+void UpstreamTask::Retire(UpstreamPtr upstream) {
+  Carry(upstream.get(), upstream->gate.Drain(Now(), DrainMode::kUpstreamLeaves));
+  former_.push_back({std::move(upstream), Now()});
+}
+
+bool UpstreamTask::SeenByFormer(const CallId& id) const {
+  return std::any_of(former_.begin(), former_.end(), [&id](const Former& it) {
+    return it.upstream->gate.ledger().Find(id).has_value();
+  });
+}
+
+void UpstreamTask::Publish() {
+  std::vector<EndpointInfo> endpoints;
+  for (const auto& it : upstreams_) {
+    const Announcement& announcement = it.second->announcement;
+    endpoints.push_back({announcement.service, announcement.address,
+                         static_cast<uint32_t>(announcement.slots),
+                         ToEndpointState(announcement.state)});
+  }
+  listener_(std::move(endpoints));
+}
+
+void UpstreamTask::OnCall(NodeCallRequest request, std::shared_ptr<AnswerWriter> writer) {
+  ++counters_.offered;
+  const auto address = NetAddress::Parse(request.endpoint);
+  const auto it = address ? upstreams_.find(*address) : upstreams_.end();
+  if (it == upstreams_.end() || it->second->announcement.service != request.service) {
+    ++counters_.refused;
+    const bool other_run = request.target_incarnation != options_.incarnation;
+    writer->Done(MakeResult(NodeOutcome::kNotRun, other_run ? CallReason::kWrongIncarnation
+                                                            : CallReason::kUnknownUpstream));
+    return;
+  }
+  const CallId id = request.id;
+  if (voided_.Find(id)) {
+    ++counters_.refused;
+    writer->Done(MakeResult(NodeOutcome::kNotRun, CallReason::kVoided));
+    return;
+  }
+  if (calls_.count(id) != 0 || SeenByFormer(id)) {
+    ++counters_.refused;
+    writer->Done(MakeResult(NodeOutcome::kUnknown, CallReason::kDuplicateId));
+    return;
+  }
+  const UpstreamPtr upstream = it->second;
+  auto call = std::make_unique<Call>(this, upstream, std::move(request), writer);
+  const GateCall facts = call->Facts();
+  calls_.emplace(id, std::move(call));
+  writer->SetOnCancelled([this, upstream, id] {
+    Carry(upstream.get(), upstream->gate.Cancel(Now(), id));
+  });
+  Carry(upstream.get(), upstream->gate.Offer(Now(), facts));
+}
+
+// Asks every gate, since an upstream may have been replaced after the call was sent. A gate that does
+// not know the id leaves a tombstone.
+ResolveReply UpstreamTask::OnResolve(const CallId& id, uint64_t target_incarnation) {
+  ResolveReply reply;
+  if (target_incarnation != options_.incarnation) return reply;
+  std::vector<UpstreamPtr> all;
+  for (const auto& it : upstreams_) all.push_back(it.second);
+  for (const Former& it : former_) all.push_back(it.upstream);
+  reply.state = NodeCallState::kVoided;
+  for (const UpstreamPtr& it : all) {
+    const auto resolution = it->gate.Resolve(Now(), id, target_incarnation);
+    if (resolution.state != ResolveState::kVoided) {
+      reply.state = static_cast<NodeCallState>(resolution.state);
+    }
+    Carry(it.get(), resolution.effects);
+  }
+  // Without a tombstone the request could still arrive and start.
+  if (reply.state == NodeCallState::kVoided && !voided_.Void(id, Now())) {
+    reply.state = NodeCallState::kUnknown;
+  }
+  return reply;
+}
+
+void UpstreamTask::StartDraining() {
+  draining_ = true;
+  for (const auto& it : upstreams_) {
+    Carry(it.second.get(), it.second->gate.Drain(Now(), DrainMode::kNodeStops));
+  }
+}
+
+void UpstreamTask::Carry(Upstream* upstream, const GateEffects& effects) {
+  for (const GateEffect& it : effects) {
+    if (const auto* start = std::get_if<StartCall>(&it)) {
+      StartOnUpstream(upstream, start->id);
+    } else if (const auto* refuse = std::get_if<camphorhoist::Refuse>(&it)) {
+      Refuse(upstream, *refuse);
+    } else if (const auto* cancel = std::get_if<CancelRunning>(&it)) {
+      CancelOnUpstream(upstream, cancel->id);
+    }
+  }
+}
+
+void UpstreamTask::StartOnUpstream(Upstream*, const CallId& id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  ++counters_.started;
+  it->second->Start();
+}
+
+void UpstreamTask::Refuse(Upstream* upstream, const camphorhoist::Refuse& refuse) {
+  const auto it = calls_.find(refuse.id);
+  if (it == calls_.end()) return;
+  ++counters_.refused;
+  const NodeOutcome outcome =
+      ProvesNotRun(refuse.reason) ? NodeOutcome::kNotRun : NodeOutcome::kUnknown;
+  NodeCallResult result = MakeResult(outcome, refuse.reason);
+  const LoadReport load = upstream->gate.load(Now());
+  result.queue_length = load.queue_length;
+  result.running = load.running;
+  result.limit = load.limit;
+  it->second->writer()->Done(std::move(result));
+  Remove(refuse.id);
+}
+
+void UpstreamTask::CancelOnUpstream(Upstream*, const CallId& id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  it->second->Abort();
+  Finish(it->second.get(), FinishKind::kError,
+         MakeResult(NodeOutcome::kUnknown, CallReason::kCancelled));
+}
+
+void UpstreamTask::Finish(Call* call, FinishKind kind, NodeCallResult result) {
+  const UpstreamPtr upstream = call->upstream();
+  const CallTime now = Now();
+  const CallId id = call->id();
+  const GateEffects effects = upstream->gate.OnFinish(now, id, now - call->started(), kind);
+  ++(kind == FinishKind::kOk ? counters_.answered : counters_.broken);
+  const LoadReport load = upstream->gate.load(now);
+  result.queue_length = load.queue_length;
+  result.running = load.running;
+  result.limit = load.limit;
+  result.queue_micros = Micros(call->started() - call->arrived());
+  result.service_micros = Micros(now - call->started());
+  call->writer()->Done(std::move(result));
+  Remove(id);
+  Carry(upstream.get(), effects);
+}
+
+void UpstreamTask::Remove(const CallId& id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  ended_.push_back(std::move(it->second));
+  calls_.erase(it);
+  free_.StartOnce(std::chrono::microseconds(0));
+}
+
+void UpstreamTask::Tick() {
+  const CallTime now = Now();
+  for (const auto& it : upstreams_) Carry(it.second.get(), it.second->gate.Tick(now));
+  for (const Former& it : former_) Carry(it.upstream.get(), it.upstream->gate.Tick(now));
+  const auto over = [now](const Former& it) {
+    return it.upstream->gate.idle() && now - it.since > CallLedger::kKeep;
+  };
+  former_.erase(std::remove_if(former_.begin(), former_.end(), over), former_.end());
+  voided_.Expire(now);
+}
+
+std::vector<UpstreamTask::View> UpstreamTask::Views() const {
+  std::vector<View> views;
+  for (const auto& it : upstreams_) {
+    const Upstream& upstream = *it.second;
+    View view;
+    view.announcement = upstream.announcement;
+    view.running = upstream.gate.running();
+    view.queued = upstream.gate.queued();
+    view.limit = upstream.gate.limit(Now());
+    view.connections = upstream.client.open_connections();
+    view.connections_opened = upstream.client.connections_opened();
+    view.ledger_entries = upstream.gate.ledger().size();
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+}  // namespace camphorhoist
--- a/src/libnode/node.capnp
+++ b/src/libnode/node.capnp
@@ -34,6 +34,8 @@
   maxQueueMs @9 :UInt32;
   longWork @10 :Bool;
   idempotent @11 :Bool;
+  # Hops above this one.
+  depth @12 :UInt32;
 }
 
 enum Outcome {
@@ -89,13 +91,13 @@
     voided @0;
     # The call has started and still runs.
     started @1;
-    # The call has finished; `result` holds its answer if the node still has it.
+    # The call has finished; its answer was sent to the sink of its request.
     finished @2;
     # The node cannot tell: the call was meant for another incarnation.
     unknown @3;
   }
   resolveCall @3 (id :CallId, targetIncarnation :UInt64)
-      -> (state :CallState, hasResult :Bool, result :CallResult);
+      -> (state :CallState);
 
   # Changes that lead from the version and hash that the asker has to the node's current version.
   # `full` says that `changes` holds all records, because the node does not have the asker's version.
--- a/src/libnode/node_messages.cc
+++ b/src/libnode/node_messages.cc
@@ -45,6 +45,7 @@
   to.setMaxQueueMs(from.max_queue_ms);
   to.setLongWork(from.long_work);
   to.setIdempotent(from.idempotent);
+  to.setDepth(from.depth);
 }
 
 NodeCallRequest ReadCallRequest(rpc::CallRequest::Reader from) {
@@ -61,6 +62,7 @@
   to.max_queue_ms = from.getMaxQueueMs();
   to.long_work = from.getLongWork();
   to.idempotent = from.getIdempotent();
+  to.depth = from.getDepth();
   return to;
 }
 
--- a/src/libnode/node_messages.h
+++ b/src/libnode/node_messages.h
@@ -28,6 +28,8 @@
   uint32_t max_queue_ms = 0;
   bool long_work = false;
   bool idempotent = false;
+  /// Hops above this one.
+  uint32_t depth = 0;
 };
 
 enum class NodeOutcome { kAnswered, kNotRun, kUnknown };
@@ -50,11 +52,8 @@
 
 enum class NodeCallState { kVoided, kStarted, kFinished, kUnknown };
 
-/// State of an earlier call; `result` is meaningful when `has_result` is set.
 struct ResolveReply {
   NodeCallState state = NodeCallState::kUnknown;
-  bool has_result = false;
-  NodeCallResult result;
 };
 
 /// One record that changed; an empty `body` means removal.
--- a/src/libnode/node_server.cc
+++ b/src/libnode/node_server.cc
@@ -107,10 +107,7 @@
     const auto params = context.getParams();
     const CallId id(params.getId().getOrigin(), params.getId().getCounter());
     const ResolveReply reply = service_->OnResolve(id, params.getTargetIncarnation());
-    auto results = context.getResults();
-    results.setState(static_cast<rpc::Node::CallState>(reply.state));
-    results.setHasResult(reply.has_result);
-    if (reply.has_result) WriteCallResult(reply.result, results.initResult());
+    context.getResults().setState(static_cast<rpc::Node::CallState>(reply.state));
     return kj::READY_NOW;
   }
 
--- a/src/libnode/peer_pool.cc
+++ b/src/libnode/peer_pool.cc
@@ -312,8 +312,6 @@
       if (response.getState() <= rpc::Node::CallState::UNKNOWN) {
         reply.state = static_cast<NodeCallState>(response.getState());
       }
-      reply.has_result = response.getHasResult();
-      if (reply.has_result) reply.result = ReadCallResult(response.getResult());
       return reply;
     });
   };
