Add configuration records, pages, head, deltas, acceptance and replica

Cause: the daemon needs the decision part of configuration: what a valid record set is, how it is stored in the platform, how a change set is accepted, and which version a node may serve.

The acceptance reports one effect at a time and learns results from its driver. A head write without a result is resolved by reading the head: the change set id among the recent ones means accepted, an unchanged object version means the same conditional write again, and a moved head without the id means a new check, provided that the recent list reaches back far enough to prove it.

Ruled out: compiled routes with raw pointers into pages.

--- /dev/null
+++ b/include/camphorhoist/snapshot.h
@@ -0,0 +1,121 @@
+#ifndef CAMPHORHOIST_SNAPSHOT_H_
+#define CAMPHORHOIST_SNAPSHOT_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "camphorhoist/config_page.h"
+#include "camphorhoist/config_version.h"
+#include "camphorhoist/finding.h"
+#include "camphorhoist/record.h"
+
+namespace camphorhoist {
+
+/// A route compiled against the services of its snapshot.
+///
+/// Immutable value type. Thread safety: distinct objects may be used from distinct threads.
+class Route {
+ public:
+  /// `record` is a route of any schema; `default_timeout_ms` applies if it sets no timeout.
+  Route(Record record, int64_t default_timeout_ms);
+
+  const std::string& name() const { return record_.name(); }
+  const RouteSettings& settings() const { return record_.route(); }
+  const std::vector<Destination>& destinations() const { return settings().destinations; }
+  /// Time allowed for a call, in milliseconds.
+  int64_t timeout_ms() const { return timeout_ms_; }
+  bool Accepts(std::string_view method, std::string_view host) const;
+  bool IsIdempotent(std::string_view method) const;
+
+ private:
+  Record record_;
+  int64_t timeout_ms_;
+};
+
+/// Result of `Snapshot::MatchRoute`. Valid while the snapshot is held.
+struct RouteMatch {
+  const Route* route = nullptr;
+  /// Whether the route counts the method of the request as idempotent.
+  bool idempotent = false;
+
+  const std::vector<Destination>& destinations() const { return route->destinations(); }
+  int64_t timeout_ms() const { return route->timeout_ms(); }
+};
+
+/// One complete, verified configuration. Snapshots built from one another share unchanged pages and
+/// indexes.
+///
+/// Immutable. Thread safety: distinct objects may be used from distinct threads.
+class Snapshot {
+ public:
+  using Ptr = std::shared_ptr<const Snapshot>;
+
+  /// The configuration without records, with no version.
+  static const Ptr& Empty();
+  /// Builds and verifies a whole configuration. Adds findings and returns null on any fault, a
+  /// repeated record, a record version of 0 or above `version.number()`, and a page that exceeds
+  /// the size limit included.
+  static Ptr Build(const ConfigVersion& version, const std::vector<StoredRecord>& records,
+                   Findings* findings);
+  /// Like `Build`, from decoded pages. Shares the indexes of `base` where it can; `base` may be
+  /// null.
+  static Ptr FromPages(const ConfigVersion& version, ConfigPages pages, const Snapshot* base,
+                       Findings* findings);
+  /// This configuration with the given changes, rehashing only the pages they touch. Adds findings
+  /// and returns null on any fault, the removal of a record that does not exist included.
+  Ptr With(const ConfigVersion& version, const std::vector<StoredRecord>& upserts,
+           const std::vector<RecordKey>& removals, Findings* findings) const;
+
+  const ConfigVersion& version() const { return version_; }
+  /// SHA-256 of the 64 page hashes in order. It covers records and their versions, not `version`.
+  const std::string& hash() const { return hash_; }
+  const ConfigPages& pages() const { return pages_; }
+  /// Highest record schema in use; 1 without records.
+  int schema() const;
+  size_t record_count() const;
+  /// All records in key order.
+  std::vector<StoredRecord> records() const;
+  /// Null if there is no such record.
+  const StoredRecord* Find(const RecordKey& key) const;
+  const ServiceSettings* FindService(const std::string& name) const;
+  const EndpointSettings* FindEndpoint(const std::string& name) const;
+  /// Settings of the upstream that announces itself under `address`; null without a record.
+  const EndpointSettings* FindEndpointAt(const std::string& service,
+                                         const NetAddress& address) const;
+  std::vector<std::string> ServiceNames() const;
+
+  /// Compiled routes by path prefix, then in order of preference.
+  const std::vector<Route>& routes() const { return *routes_; }
+  /// The route for a request: longest path prefix, then highest priority, then a route that names
+  /// the host, then one that names the method. `host` may carry a port and `path` a query.
+  std::optional<RouteMatch> MatchRoute(std::string_view method, std::string_view host,
+                                       std::string_view path) const;
+
+  /// Bytes held by this snapshot that it does not share with `other`, estimated; `other` may be
+  /// null.
+  size_t MemoryBytes(const Snapshot* other) const;
+
+ private:
+  using RouteIndex = std::vector<Route>;
+  /// Endpoint records by service and address.
+  using AddressIndex = std::vector<Record>;
+
+  Snapshot() = default;
+  std::vector<Record> AllRecords() const;
+  void ComputeHash();
+  void Compile(const Snapshot* base);
+
+  ConfigVersion version_;
+  std::string hash_;
+  ConfigPages pages_;
+  std::shared_ptr<const RouteIndex> routes_;
+  std::shared_ptr<const AddressIndex> addresses_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_SNAPSHOT_H_
--- /dev/null
+++ b/src/libconfig/acceptance_test.cc
@@ -0,0 +1,158 @@
+#include "camphorhoist/acceptance.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+#include "libconfig/config_fixture.h"
+#include "libconfig/fake_store.h"
+
+namespace camphorhoist {
+namespace {
+
+constexpr int kFleetSchema = kMaxSchema;
+
+Record Service(const std::string& name, int timeout_ms) {
+  return ParseRecord(R"({"schema":1,"kind":"service","name":")" + name + R"(","timeout_ms":)" +
+                     std::to_string(timeout_ms) + "}");
+}
+
+Record RouteTo(const std::string& name, const std::string& service) {
+  return ParseRecord(R"({"schema":2,"kind":"route","name":")" + name +
+                     R"(","match":{"path_prefix":"/)" + name +
+                     R"("},"destinations":[{"service":")" + service + R"(","weight":1}]})");
+}
+
+AcceptOutcome Submit(FakeStore* store, const ChangeSet& change_set, int schema = kFleetSchema,
+                     Snapshot::Ptr base = Snapshot::Empty()) {
+  Acceptance acceptance(change_set, std::move(base), schema);
+  return Commit(store, &acceptance);
+}
+
+class AcceptanceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AcceptanceTest);
+  CPPUNIT_TEST(AcceptsAndVersionsRecords);
+  CPPUNIT_TEST(ConflictNamesRecordAndField);
+  CPPUNIT_TEST(RejectsWithAllFindings);
+  CPPUNIT_TEST(ChecksFleetSchema);
+  CPPUNIT_TEST(ResubmissionIsIdempotent);
+  CPPUNIT_TEST(RefusesLostOrOlderHead);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    const ChangeSet first = {
+        "c1", {Change::Upsert(Service("a", 1), 0), Change::Upsert(Service("b", 1), 0)}};
+    store_ = FakeStore();
+    CPPUNIT_ASSERT(Submit(&store_, first).status == AcceptStatus::kAccepted);
+  }
+
+  // Guards against record versions that are not those of the acceptance, which would break the
+  // conflict check of the next change.
+  void AcceptsAndVersionsRecords() {
+    const ChangeSet change = {
+        "c2",
+        {Change::Upsert(Service("a", 2), 1), Change::Remove({RecordKind::kService, "b"}, 1),
+         Change::UnconditionalUpsert(RouteTo("r", "a"))}};
+    Acceptance acceptance(change, Snapshot::Empty(), kFleetSchema);
+    const AcceptOutcome outcome = Commit(&store_, &acceptance);
+    CPPUNIT_ASSERT_EQUAL(std::string("accepted"), std::string(ToString(outcome.status)));
+    CPPUNIT_ASSERT_EQUAL(std::string("1.2"), outcome.version.ToString());
+    const Snapshot::Ptr now = Load();
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, now->Find({RecordKind::kService, "a"})->version);
+    CPPUNIT_ASSERT(now->Find({RecordKind::kService, "b"}) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(now->hash(), acceptance.accepted_snapshot()->hash());
+    CPPUNIT_ASSERT(now->version() == acceptance.accepted_snapshot()->version());
+  }
+
+  // Guards against a lost update between two operators (F6).
+  void ConflictNamesRecordAndField() {
+    CPPUNIT_ASSERT(Submit(&store_, {"c2", {Change::Upsert(Service("a", 2), 1)}}).status ==
+                   AcceptStatus::kAccepted);
+    const ChangeSet late = {"c3",
+                            {Change::Upsert(Service("a", 3), 1), Change::Upsert(Service("b", 1), 0),
+                             Change::Remove({RecordKind::kService, "x"}, 1)}};
+    const AcceptOutcome outcome = Submit(&store_, late);
+    CPPUNIT_ASSERT_EQUAL(std::string("conflict"), std::string(ToString(outcome.status)));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(
+            "service/a: was read at version 1, but is at version 2 and differs in /timeout_ms\n"
+            "service/b: was read at version 0, but is at version 1\n"
+            "service/x: was read at version 1, but does not exist"),
+        outcome.findings.ToString());
+    CPPUNIT_ASSERT_EQUAL(std::string("/timeout_ms"), outcome.conflicts[0].field);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, outcome.conflicts[0].current_version);
+    CPPUNIT_ASSERT(Load()->version() == ConfigVersion(1, 2));
+  }
+
+  // Guards against an invalid configuration in force (P3) and against one finding at a time.
+  void RejectsWithAllFindings() {
+    const ChangeSet change = {
+        "c2",
+        {Change::Upsert(RouteTo("r", "x"), 0), Change::Upsert(RouteTo("s", "y"), 0),
+         Change::UnconditionalRemove({RecordKind::kService, "z"})}};
+    const AcceptOutcome outcome = Submit(&store_, change);
+    CPPUNIT_ASSERT_EQUAL(std::string("rejected"), std::string(ToString(outcome.status)));
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("service/z: does not exist and cannot be removed\n"
+                    "route/r.destinations[0].service: service \"x\" does not exist\n"
+                    "route/s.destinations[0].service: service \"y\" does not exist"),
+        outcome.findings.ToString());
+    CPPUNIT_ASSERT(Load()->version() == ConfigVersion(1, 1));
+    CPPUNIT_ASSERT(Submit(&store_, {"", {}}).findings.items().size() == 2);
+  }
+
+  // Guards against a configuration that a live node cannot understand.
+  void ChecksFleetSchema() {
+    ChangeSet change = {"c2", {Change::Upsert(RouteTo("r", "a"), 0)}};
+    const AcceptOutcome outcome = Submit(&store_, change, 1);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("route/r.schema: is 2, but a live node understands only schema 1 and below"),
+        outcome.findings.ToString());
+    CPPUNIT_ASSERT(outcome.status == AcceptStatus::kRejected);
+    change.allow_newer_schema = true;
+    CPPUNIT_ASSERT(Submit(&store_, change, 1).status == AcceptStatus::kAccepted);
+  }
+
+  // Guards against a change set that is applied again when an operator repeats it.
+  void ResubmissionIsIdempotent() {
+    const ChangeSet change = {"c2", {Change::UnconditionalUpsert(Service("a", 2))}};
+    Submit(&store_, change);
+    Submit(&store_, {"c3", {Change::Upsert(Service("a", 3), 2)}});
+    const AcceptOutcome outcome = Submit(&store_, change);
+    CPPUNIT_ASSERT(outcome.status == AcceptStatus::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::string("1.2"), outcome.version.ToString());
+    CPPUNIT_ASSERT(Load()->version() == ConfigVersion(1, 3));
+  }
+
+  // Guards against a head below the version in force after the platform lost data (P1).
+  void RefusesLostOrOlderHead() {
+    const Snapshot::Ptr first = Load();
+    const ReadResult old_head = store_.Read(kHeadObjectKey);
+    Submit(&store_, {"c2", {Change::Upsert(Service("a", 2), 1)}});
+    const Snapshot::Ptr second = Load();
+    const ChangeSet change = {"c3", {Change::UnconditionalUpsert(Service("a", 3))}};
+    store_.Replace(kHeadObjectKey, std::get<ObjectFound>(old_head).body);
+    CPPUNIT_ASSERT(Submit(&store_, change, kFleetSchema, second).status == AcceptStatus::kUnknown);
+    CPPUNIT_ASSERT_EQUAL(first->hash(), Load()->hash());
+    store_.Remove(kHeadObjectKey);
+    CPPUNIT_ASSERT(Submit(&store_, change, kFleetSchema, second).status == AcceptStatus::kUnknown);
+    CPPUNIT_ASSERT(Load() == Snapshot::Empty());
+  }
+
+ private:
+  Snapshot::Ptr Load() const {
+    Findings findings;
+    Snapshot::Ptr snapshot = store_.Load(&findings);
+    CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToString());
+    return snapshot;
+  }
+
+  FakeStore store_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AcceptanceTest);
+
+}  // namespace
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libconfig/config_fixture.h
@@ -0,0 +1,41 @@
+#ifndef CAMPHORHOIST_LIBCONFIG_CONFIG_FIXTURE_H_
+#define CAMPHORHOIST_LIBCONFIG_CONFIG_FIXTURE_H_
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "camphorhoist/record.h"
+#include "camphorhoist/snapshot.h"
+
+namespace camphorhoist {
+
+/// Inputs of tests and benchmarks. Each function throws `std::invalid_argument` on any finding.
+
+inline void RequireNone(const Findings& findings) {
+  if (!findings.empty()) throw std::invalid_argument(findings.ToString());
+}
+
+inline Record ParseRecord(const std::string& text) {
+  Findings findings;
+  std::optional<Record> record = Record::Parse(text, "record", &findings);
+  RequireNone(findings);
+  return *record;
+}
+
+/// Snapshot of version 1.`number` in which each record has version `number`.
+inline Snapshot::Ptr BuildSnapshot(uint64_t number, const std::string& text) {
+  Findings findings;
+  std::vector<StoredRecord> records;
+  for (Record& it : ParseRecords(text, "records", &findings)) {
+    records.push_back({std::move(it), number});
+  }
+  Snapshot::Ptr snapshot = Snapshot::Build({1, number}, records, &findings);
+  RequireNone(findings);
+  return snapshot;
+}
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBCONFIG_CONFIG_FIXTURE_H_
--- /dev/null
+++ b/src/libconfig/config_head.cc
@@ -0,0 +1,190 @@
+#include "camphorhoist/config_head.h"
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "camphorhoist/change_set.h"
+#include "camphorhoist/content_hash.h"
+#include "libconfig/json_reader.h"
+
+namespace camphorhoist {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int64_t kMaxNumber = std::numeric_limits<int64_t>::max();
+/// Upper bound for the schema field; higher versions than this program knows must stay readable so
+/// that a node can say why it does not follow the head.
+constexpr int64_t kMaxReadableSchema = 1000;
+
+bool IsHash(const std::string& text) {
+  return text.size() == kHashLength &&
+         text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+void ReadPages(JsonReader* reader, ConfigHead* head, Findings* findings) {
+  if (reader->RequiredValue("pages") == nullptr) return;
+  const std::optional<std::vector<std::string>> pages = reader->Strings("pages");
+  if (!pages) return;
+  if (pages->size() != kPageCount || !std::all_of(pages->begin(), pages->end(), IsHash)) {
+    findings->Add(reader->PlaceOf("pages"), "must be 64 SHA-256 hashes of 64 hexadecimal digits");
+    return;
+  }
+  std::copy(pages->begin(), pages->end(), head->pages.begin());
+}
+
+RecentChange ReadRecentChange(const json& value, const std::string& place, Findings* findings) {
+  JsonReader reader(value, place, findings);
+  RecentChange change;
+  change.id = reader.RequiredString("id");
+  change.number = static_cast<uint64_t>(reader.RequiredInteger("number", 1, kMaxNumber));
+  if (reader.Has("id") && value["id"].is_string() && !IsValidChangeSetId(change.id)) {
+    findings->Add(reader.PlaceOf("id"), "is not a change set id");
+  }
+  reader.Finish();
+  return change;
+}
+
+void ReadRecent(JsonReader* reader, ConfigHead* head, Findings* findings) {
+  const json* items = reader->RequiredArray("recent");
+  if (items == nullptr) return;
+  const std::string place = reader->PlaceOf("recent");
+  if (items->size() > kMaxRecentChanges) {
+    findings->Add(place, "must have at most 128 entries");
+    return;
+  }
+  for (size_t n = 0; n < items->size(); ++n) {
+    const std::string item_place = place + "[" + std::to_string(n) + "]";
+    head->recent.push_back(ReadRecentChange((*items)[n], item_place, findings));
+    const uint64_t number = head->recent.back().number;
+    const uint64_t before = n == 0 ? 0 : head->recent[n - 1].number;
+    if (number > before && number <= head->version.number()) continue;
+    findings->Add(item_place + ".number", "must be above the entry before and at most the number");
+  }
+}
+
+}  // namespace
+
+const char kHeadObjectKey[] = "config/head";
+
+std::optional<uint64_t> ConfigHead::AcceptedNumber(const std::string& change_set_id) const {
+  for (const RecentChange& it : recent) {
+    if (it.id == change_set_id) return it.number;
+  }
+  return std::nullopt;
+}
+
+bool ConfigHead::ListsAllFrom(uint64_t number) const {
+  if (number > version.number()) return true;
+  if (recent.empty() || recent.front().number > number) return false;
+  // Numbers rise by one per acceptance, so a gap means that entries were lost.
+  return recent.back().number == version.number() &&
+         recent.back().number - recent.front().number + 1 == recent.size();
+}
+
+ConfigHead MakeHead(const Snapshot& next, std::vector<RecentChange> recent, const std::string& id) {
+  ConfigHead head;
+  head.version = next.version();
+  for (size_t n = 0; n < kPageCount; ++n) head.pages[n] = next.pages()[n]->hash();
+  head.recent = std::move(recent);
+  head.recent.push_back({id, next.version().number()});
+  if (head.recent.size() > kMaxRecentChanges) {
+    const auto excess = static_cast<std::ptrdiff_t>(head.recent.size() - kMaxRecentChanges);
+    head.recent.erase(head.recent.begin(), head.recent.begin() + excess);
+  }
+  head.schema = next.schema();
+  return head;
+}
+
+std::string EncodeHead(const ConfigHead& head) {
+  json recent = json::array();
+  for (const RecentChange& it : head.recent) {
+    recent.push_back({{"id", it.id}, {"number", it.number}});
+  }
+  const json value = {{"epoch", head.version.epoch()},
+                      {"number", head.version.number()},
+                      {"pages", head.pages},
+                      {"recent", std::move(recent)},
+                      {"schema", head.schema}};
+  return value.dump();
+}
+
+std::optional<ConfigHead> DecodeHead(const std::string& text, const std::string& place,
+                                     Findings* findings) {
+  Findings found;
+  ConfigHead head;
+  if (text.size() > kMaxObjectBytes) {
+    found.Add(place, "is larger than 1000000 bytes");
+  } else if (const std::optional<json> value = ParseJson(text, place, &found)) {
+    JsonReader reader(*value, place, &found);
+    const int64_t epoch = reader.RequiredInteger("epoch", 1, kMaxNumber);
+    const int64_t number = reader.RequiredInteger("number", 1, kMaxNumber);
+    head.version = ConfigVersion(static_cast<uint64_t>(epoch), static_cast<uint64_t>(number));
+    ReadPages(&reader, &head, &found);
+    ReadRecent(&reader, &head, &found);
+    head.schema = static_cast<int>(reader.RequiredInteger("schema", 1, kMaxReadableSchema));
+    reader.Finish();
+  }
+  findings->Append(found);
+  if (!found.empty()) return std::nullopt;
+  return head;
+}
+
+SnapshotLoader::SnapshotLoader(ConfigHead head, Snapshot::Ptr base)
+    : head_(std::move(head)), base_(std::move(base)) {
+  for (size_t n = 0; n < kPageCount; ++n) {
+    if (head_.pages[n] == ConfigPage::Empty()->hash()) {
+      pages_[n] = ConfigPage::Empty();
+    } else if (base_ != nullptr && base_->pages()[n]->hash() == head_.pages[n]) {
+      pages_[n] = base_->pages()[n];
+    }
+  }
+}
+
+std::optional<std::string> SnapshotLoader::NextMissing() const {
+  for (size_t n = 0; n < kPageCount; ++n) {
+    if (pages_[n] == nullptr) return head_.pages[n];
+  }
+  return std::nullopt;
+}
+
+std::vector<std::string> SnapshotLoader::Missing() const {
+  std::vector<std::string> hashes;
+  for (size_t n = 0; n < kPageCount; ++n) {
+    if (pages_[n] != nullptr) continue;
+    if (std::find(hashes.begin(), hashes.end(), head_.pages[n]) != hashes.end()) continue;
+    hashes.push_back(head_.pages[n]);
+  }
+  return hashes;
+}
+
+bool SnapshotLoader::AddPage(const std::string& hash, const std::string& body, Findings* findings) {
+  const std::string place = PageObjectKey(hash);
+  if (ContentHash(body) != hash) {
+    findings->Add(place, "has a body with another hash");
+    return false;
+  }
+  for (size_t n = 0; n < kPageCount; ++n) {
+    if (pages_[n] != nullptr || head_.pages[n] != hash) continue;
+    pages_[n] = ConfigPage::Decode(n, body, place, findings);
+    if (pages_[n] == nullptr) return false;
+  }
+  return true;
+}
+
+Snapshot::Ptr SnapshotLoader::Finish(Findings* findings) const {
+  Findings found;
+  Snapshot::Ptr snapshot = Snapshot::FromPages(head_.version, pages_, base_.get(), &found);
+  if (snapshot != nullptr && snapshot->schema() != head_.schema) {
+    found.Add(std::string(kHeadObjectKey) + ".schema", "is " + std::to_string(head_.schema) +
+                                                           ", but the records use schema " +
+                                                           std::to_string(snapshot->schema()));
+  }
+  findings->Append(found);
+  return found.empty() ? snapshot : nullptr;
+}
+
+}  // namespace camphorhoist
