--- /dev/null
+++ b/src/libcaller/exchange.cc
@@ -0,0 +1,190 @@
+#include "libcaller/exchange.h"
+
+#include <event2/http_struct.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "libcaller/http_headers.h"
+
+namespace camphorhoist {
+
+namespace {
+
+// Makes the close visible as a reset: the end of a body without length or chunks is the close
+// itself, so that an ordinary close would look like a whole answer.
+void ResetOnClose(bufferevent* bufev) {
+  const linger option{1, 0};
+  setsockopt(bufferevent_getfd(bufev), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
+}  // namespace
+
+CallerServer::Exchange::Exchange(CallerServer* server, evhttp_request* req)
+    : server_(server),
+      req_(req),
+      connection_(evhttp_request_get_connection(req)),
+      bufev_(evhttp_connection_get_bufferevent(connection_)) {
+  evhttp_request_set_on_complete_cb(req_, &Exchange::OnComplete, this);
+  PrepareConnection();
+}
+
+// evhttp stops reading while a request is handled, and would then not see the caller close. Reading
+// goes on without evhttp's read callback, which ends the process on data in this state, and without
+// a read timeout, since a caller that waits for its answer is silent.
+void CallerServer::Exchange::PrepareConnection() {
+  bufferevent_data_cb write_cb = nullptr;
+  bufferevent_event_cb event_cb = nullptr;
+  void* arg = nullptr;
+  bufferevent_getcb(bufev_, nullptr, &write_cb, &event_cb, &arg);
+  bufferevent_setcb(bufev_, nullptr, write_cb, event_cb, arg);
+  bufferevent_setwatermark(bufev_, EV_READ, 0, kMaxReadAheadBytes);
+  bufferevent_setwatermark(bufev_, EV_WRITE, CallReply::kLowWaterBytes, 0);
+  const timeval write_timeout = ToTimeval(kWriteTimeout);
+  bufferevent_set_timeouts(bufev_, nullptr, &write_timeout);
+  bufferevent_enable(bufev_, EV_READ);
+}
+
+void CallerServer::Exchange::RestoreConnection() {
+  const timeval idle = ToTimeval(kIdleTimeout);
+  bufferevent_setwatermark(bufev_, EV_READ, 0, 0);
+  bufferevent_set_timeouts(bufev_, &idle, &idle);
+}
+
+bool CallerServer::Exchange::HasBody() const {
+  return status_ != 204 && status_ != 304 && status_ >= 200 &&
+         evhttp_request_get_command(req_) != EVHTTP_REQ_HEAD;
+}
+
+void CallerServer::Exchange::SendHead(int status, const HttpHeaders& headers) {
+  if (status_ != 0) return;
+  status_ = status;
+  evkeyvalq* out = evhttp_request_get_output_headers(req_);
+  for (const auto& it : WithoutHeader(WithoutHopByHop(headers), "Content-Length")) {
+    if (IsValidHeader(it.first, it.second)) {
+      evhttp_add_header(out, it.first.c_str(), it.second.c_str());
+    }
+  }
+  const ContentLength length = ReadContentLength(headers);
+  if (length.valid) length_ = length.value;
+  if (length_ && status != 204) {
+    evhttp_add_header(out, "Content-Length", std::to_string(*length_).c_str());
+  }
+  const bool old_caller = req_->major == 1 && req_->minor == 0;
+  if (old_caller && !length_ && HasBody()) {
+    // Else evhttp would answer a keep-alive request with "Content-Length: 0" before the body.
+    evhttp_remove_header(evhttp_request_get_input_headers(req_), "Connection");
+    close_delimited_ = true;
+  }
+  if (server_->stopping_ || close_delimited_) evhttp_add_header(out, "Connection", "close");
+  evhttp_send_reply_start(req_, status, nullptr);
+}
+
+void CallerServer::Exchange::SendChunk(std::string_view data) {
+  if (status_ == 0 || data.empty() || !HasBody()) return;
+  sent_ += static_cast<int64_t>(data.size());
+  if (length_ && sent_ > *length_) {
+    Break();
+    return;
+  }
+  const EvbufferPtr buf(evbuffer_new());
+  evbuffer_add(buf.get(), data.data(), data.size());
+  evhttp_send_reply_chunk_with_cb(req_, buf.get(), &Exchange::OnWritten, this);
+  if (buffered_bytes() >= CallReply::kHighWaterBytes) over_high_water_ = true;
+}
+
+void CallerServer::Exchange::OnWritten(evhttp_connection*, void* arg) {
+  auto* self = static_cast<Exchange*>(arg);
+  if (!self->over_high_water_ || self->finished_) return;
+  self->over_high_water_ = false;
+  const std::function<void()> callback = self->on_writable;  // the callback may end the exchange
+  if (callback) callback();
+}
+
+void CallerServer::Exchange::Finish() {
+  const bool incomplete = status_ == 0 || (HasBody() && length_ && sent_ != *length_);
+  if (incomplete) {
+    Break();
+    return;
+  }
+  finished_ = true;
+  ReleaseReply();
+  // evhttp takes the write callback for "all is sent", so the low-water mark has to be zero now.
+  bufferevent_setwatermark(bufev_, EV_WRITE, 0, 0);
+  evhttp_send_reply_end(req_);
+}
+
+void CallerServer::Exchange::Break() {
+  finished_ = true;
+  broken_ = true;
+  ReleaseReply();
+  if (close_delimited_) ResetOnClose(bufev_);
+  bufferevent_disable(bufev_, EV_READ | EV_WRITE);
+  server_->CloseLater(connection_);
+}
+
+size_t CallerServer::Exchange::buffered_bytes() const {
+  return evbuffer_get_length(bufferevent_get_output(bufev_));
+}
+
+void CallerServer::Exchange::ReleaseReply() {
+  if (reply != nullptr) reply->Release();
+  reply = nullptr;
+}
+
+std::function<void()> CallerServer::Exchange::Detach() {
+  ReleaseReply();
+  // On a lost connection evhttp leaves a request that is being answered to its user; in all other
+  // cases it frees the request with the connection.
+  if (evhttp_request_get_connection(req_) == nullptr) evhttp_request_free(req_);
+  return finished_ ? nullptr : std::move(on_abandoned);
+}
+
+void CallerServer::Exchange::OnComplete(evhttp_request*, void* arg) {
+  auto* self = static_cast<Exchange*>(arg);
+  self->RestoreConnection();
+  self->server_->Remove(self);
+}
+
+CallerServer::Reply::~Reply() {
+  if (exchange_ == nullptr) return;
+  exchange_->Break();
+}
+
+void CallerServer::Reply::SendHead(int status, const HttpHeaders& headers) {
+  if (exchange_ != nullptr) exchange_->SendHead(status, headers);
+}
+
+void CallerServer::Reply::SendChunk(std::string_view data) {
+  if (exchange_ != nullptr) exchange_->SendChunk(data);
+}
+
+void CallerServer::Reply::Finish() {
+  if (exchange_ != nullptr) exchange_->Finish();
+}
+
+void CallerServer::Reply::Break() {
+  if (exchange_ != nullptr) exchange_->Break();
+}
+
+size_t CallerServer::Reply::buffered_bytes() const {
+  return exchange_ == nullptr ? 0 : exchange_->buffered_bytes();
+}
+
+void CallerServer::Reply::SetOnWritable(std::function<void()> callback) {
+  if (exchange_ != nullptr) exchange_->on_writable = std::move(callback);
+}
+
+void CallerServer::Reply::SetOnAbandoned(std::function<void()> callback) {
+  if (exchange_ != nullptr) exchange_->on_abandoned = std::move(callback);
+}
+
+void SendWholeReply(CallReply* reply, int status, HttpHeaders headers, std::string_view body) {
+  headers = WithoutHeader(headers, "Content-Length");
+  headers.emplace_back("Content-Length", std::to_string(body.size()));
+  reply->SendHead(status, headers);
+  reply->SendChunk(body);
+  reply->Finish();
+}
+
+}  // namespace camphorhoist
