Add the upstream client and the announcement server

evhttp's client holds each chunk of an answer as a whole before it passes it on and takes any close for the end of an answer without length, so streaming with bounded memory and checked ends was not possible with it. The client reads answers with its own parser on a bufferevent instead.

--- /dev/null
+++ b/src/libupstream/announcement_server.h
@@ -0,0 +1,66 @@
+#ifndef CAMPHORHOIST_LIBUPSTREAM_ANNOUNCEMENT_SERVER_H_
+#define CAMPHORHOIST_LIBUPSTREAM_ANNOUNCEMENT_SERVER_H_
+
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "camphorhoist/finding.h"
+#include "camphorhoist/net_address.h"
+#include "libbase/event_ptr.h"
+#include "libbase/mailbox.h"
+#include "libupstream/announcement_table.h"
+
+namespace camphorhoist {
+
+/// HTTP server to which upstreams announce themselves:
+///
+/// - `POST /announce`: `{"service","address","slots","connections","state","instance",
+///   "accepts_cancel"}`, renewed each second;
+/// - `POST /leave`: `{"address","instance"}`;
+/// - `POST /load`: `{"address","instance","load"}`, optionally `"running"` and `"queued"`.
+///
+/// Answers 200 with `{"lapse_ms"}`, 400 with `{"findings":[{"place","message"}]}` holding all
+/// faults of the body, or 409 with `{"reason"}` if the message is out of date. Changes are posted
+/// to the mailbox; a renewal without a change posts nothing.
+///
+/// Thread safety: none; use on the thread of the event loop.
+class AnnouncementServer {
+ public:
+  static constexpr int64_t kMaxBodyBytes = 64 * 1024;
+  static constexpr int64_t kMaxHeadBytes = 16 * 1024;
+  /// Delay at which a lapse is noticed.
+  static constexpr std::chrono::milliseconds kExpireInterval{250};
+
+  /// Preconditions: `base` and `mailbox` outlive the server.
+  AnnouncementServer(event_base* base, Mailbox<UpstreamMessage>* mailbox);
+  AnnouncementServer(const AnnouncementServer&) = delete;
+  AnnouncementServer& operator=(const AnnouncementServer&) = delete;
+
+  /// Starts to listen; port 0 takes a free port. Returns the system's error. Call once. Whoever can
+  /// reach the address can direct callers' requests to any address, so it should be loopback.
+  std::error_code Listen(const NetAddress& address = NetAddress("127.0.0.1", 0));
+
+  /// The bound address with the real port; empty before `Listen`.
+  const NetAddress& address() const { return address_; }
+  std::vector<Announcement> Entries() const { return table_.Entries(); }
+
+ private:
+  static void OnRequest(evhttp_request* req, void* arg);
+
+  void Handle(evhttp_request* req);
+  AnnouncementTable::Outcome Apply(const std::string& path, const std::string& body,
+                                   Findings* findings);
+  void Expire();
+  void Post(std::vector<UpstreamMessage> messages);
+
+  Mailbox<UpstreamMessage>* mailbox_;
+  NetAddress address_;
+  AnnouncementTable table_;
+  Timer expire_timer_;
+  EvhttpPtr http_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBUPSTREAM_ANNOUNCEMENT_SERVER_H_
--- /dev/null
+++ b/src/libupstream/answer_parser.cc
@@ -0,0 +1,205 @@
+#include "libupstream/answer_parser.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+
+#include "libcaller/http_headers.h"
+
+namespace camphorhoist {
+
+namespace {
+
+// 15 hexadecimal digits keep the size below 2^60.
+constexpr size_t kMaxChunkSizeDigits = 15;
+
+std::string TrimValue(const std::string& text) {
+  const size_t first = text.find_first_not_of(" \t");
+  if (first == std::string::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+std::optional<int64_t> ParseChunkSize(const std::string& line) {
+  size_t digits = 0;
+  while (digits < line.size() && std::isxdigit(static_cast<unsigned char>(line[digits])) != 0) {
+    ++digits;
+  }
+  if (digits == 0 || digits > kMaxChunkSizeDigits) return std::nullopt;
+  const std::string rest = TrimValue(line.substr(digits));
+  if (!rest.empty() && rest[0] != ';') return std::nullopt;
+  return static_cast<int64_t>(std::strtoll(line.substr(0, digits).c_str(), nullptr, 16));
+}
+
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
+
+}  // namespace
+
+AnswerParser::Step AnswerParser::Next(evbuffer* input) {
+  if (!fault_.empty()) return Step::kBroken;
+  switch (state_) {
+    case State::kStatusLine:
+      return ReadStatusLine(input);
+    case State::kHeaders:
+      return ReadHeaders(input);
+    case State::kBody:
+      return ReadBody(input);
+    case State::kChunkSize:
+      return ReadChunkSize(input);
+    case State::kChunkData:
+      return TakeData(input);
+    case State::kChunkEnd:
+      return ReadChunkEnd(input);
+    case State::kTrailer:
+      return ReadTrailer(input);
+    case State::kDone:
+      return Step::kWhole;
+  }
+  return Step::kBroken;
+}
+
+AnswerParser::Step AnswerParser::Fail(const std::string& fault) {
+  fault_ = fault;
+  keep_alive_ = false;
+  return Step::kBroken;
+}
+
+bool AnswerParser::TakeLine(evbuffer* input, size_t limit, std::string* line, Step* step) {
+  size_t eol_bytes = 0;
+  const evbuffer_ptr eol = evbuffer_search_eol(input, nullptr, &eol_bytes, EVBUFFER_EOL_CRLF);
+  const size_t size = eol.pos < 0 ? evbuffer_get_length(input) : static_cast<size_t>(eol.pos);
+  if (size > limit) {
+    *step = Fail("a line exceeds " + std::to_string(limit) + " bytes");
+    return false;
+  }
+  if (eol.pos < 0) {
+    *step = Step::kNeedMore;
+    return false;
+  }
+  line->resize(size);
+  evbuffer_remove(input, line->data(), size);
+  evbuffer_drain(input, eol_bytes);
+  return true;
+}
+
+AnswerParser::Step AnswerParser::ReadStatusLine(evbuffer* input) {
+  std::string line;
+  Step step = Step::kNeedMore;
+  if (!TakeLine(input, kMaxHeadBytes, &line, &step)) return step;
+  const bool known_version = line.rfind("HTTP/1.1 ", 0) == 0 || line.rfind("HTTP/1.0 ", 0) == 0;
+  const bool has_status = line.size() >= 12 && std::all_of(&line[9], &line[12], IsDigit) &&
+                          (line.size() == 12 || line[12] == ' ');
+  if (!known_version || !has_status || line[9] == '0') return Fail("the status line is malformed");
+  http_1_1_ = line[7] == '1';
+  status_ = std::atoi(line.substr(9, 3).c_str());
+  head_bytes_ = line.size();
+  headers_.clear();
+  state_ = State::kHeaders;
+  return ReadHeaders(input);
+}
+
+AnswerParser::Step AnswerParser::ReadHeaders(evbuffer* input) {
+  while (true) {
+    std::string line;
+    Step step = Step::kNeedMore;
+    if (!TakeLine(input, kMaxHeadBytes, &line, &step)) return step;
+    head_bytes_ += line.size();
+    if (head_bytes_ > kMaxHeadBytes) return Fail("the head exceeds 65536 bytes");
+    if (line.empty()) break;
+    if (!ReadHeaderLine(line)) return Fail("a header line is malformed");
+  }
+  if (status_ == 101) return Fail("the upstream switched protocols");
+  if (status_ < 200) {
+    // An interim answer; the final one follows.
+    state_ = State::kStatusLine;
+    return ReadStatusLine(input);
+  }
+  return EndHead();
+}
+
+bool AnswerParser::ReadHeaderLine(const std::string& line) {
+  const size_t colon = line.find(':');
+  if (colon == std::string::npos) return false;
+  const std::string name = line.substr(0, colon);
+  const std::string value = TrimValue(line.substr(colon + 1));
+  if (!IsValidHeader(name, value)) return false;
+  headers_.emplace_back(name, value);
+  return true;
+}
+
+AnswerParser::Step AnswerParser::EndHead() {
+  const ContentLength length = ReadContentLength(headers_);
+  const std::optional<std::string> encoding = FindHeader(headers_, "Transfer-Encoding");
+  if (!length.valid) return Fail("Content-Length is not one decimal number");
+  if (encoding && length.value) {
+    return Fail("Content-Length and Transfer-Encoding exclude each other");
+  }
+  if (encoding && !HeaderNameEquals(*encoding, "chunked")) {
+    return Fail("the Transfer-Encoding is not chunked");
+  }
+  keep_alive_ = http_1_1_ ? !HasHeaderToken(headers_, "Connection", "close")
+                          : HasHeaderToken(headers_, "Connection", "keep-alive");
+  content_length_ = length.value;
+  chunked_ = encoding.has_value();
+  if (no_body_ || status_ == 204 || status_ == 304) {
+    state_ = State::kDone;
+  } else if (chunked_) {
+    state_ = State::kChunkSize;
+  } else if (content_length_) {
+    remaining_ = *content_length_;
+    state_ = remaining_ == 0 ? State::kDone : State::kBody;
+  } else {
+    return Fail("the answer has neither Content-Length nor chunks, so its end is not known");
+  }
+  return Step::kHead;
+}
+
+AnswerParser::Step AnswerParser::TakeData(evbuffer* input) {
+  const size_t available = std::min(evbuffer_get_length(input), kMaxDataBytes);
+  if (available == 0) return Step::kNeedMore;
+  const size_t size = std::min(available, static_cast<size_t>(remaining_));
+  data_.resize(size);
+  evbuffer_remove(input, data_.data(), size);
+  remaining_ -= static_cast<int64_t>(size);
+  if (remaining_ == 0) state_ = chunked_ ? State::kChunkEnd : State::kDone;
+  return Step::kData;
+}
+
+AnswerParser::Step AnswerParser::ReadBody(evbuffer* input) { return TakeData(input); }
+
+AnswerParser::Step AnswerParser::ReadChunkSize(evbuffer* input) {
+  std::string line;
+  Step step = Step::kNeedMore;
+  if (!TakeLine(input, kMaxChunkLineBytes, &line, &step)) return step;
+  const std::optional<int64_t> size = ParseChunkSize(line);
+  if (!size) return Fail("a chunk size is malformed");
+  remaining_ = *size;
+  state_ = remaining_ == 0 ? State::kTrailer : State::kChunkData;
+  return Next(input);
+}
+
+AnswerParser::Step AnswerParser::ReadChunkEnd(evbuffer* input) {
+  std::string line;
+  Step step = Step::kNeedMore;
+  if (!TakeLine(input, 0, &line, &step)) {
+    if (step == Step::kBroken) fault_ = "a chunk is longer than its size";
+    return step;
+  }
+  state_ = State::kChunkSize;
+  return ReadChunkSize(input);
+}
+
+// Trailers are read and dropped.
+AnswerParser::Step AnswerParser::ReadTrailer(evbuffer* input) {
+  while (true) {
+    std::string line;
+    Step step = Step::kNeedMore;
+    if (!TakeLine(input, kMaxHeadBytes, &line, &step)) return step;
+    if (line.empty()) break;
+    head_bytes_ += line.size();
+    if (head_bytes_ > kMaxHeadBytes) return Fail("head and trailers exceed 65536 bytes");
+  }
+  state_ = State::kDone;
+  return Step::kWhole;
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libupstream/answer_parser.h
@@ -0,0 +1,97 @@
+#ifndef CAMPHORHOIST_LIBUPSTREAM_ANSWER_PARSER_H_
+#define CAMPHORHOIST_LIBUPSTREAM_ANSWER_PARSER_H_
+
+#include <event2/buffer.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "libbase/http_client.h"
+
+namespace camphorhoist {
+
+/// Reads one HTTP/1.x answer from a buffer, piece by piece, so that the reader can pause between
+/// any two pieces. Strict about framing: an answer whose end cannot be known for certain is broken.
+///
+/// Thread safety: none.
+class AnswerParser {
+ public:
+  enum class Step {
+    /// The buffer holds nothing more that can be used yet.
+    kNeedMore,
+    /// Status and headers are complete.
+    kHead,
+    /// `data()` holds the next part of the body.
+    kData,
+    /// The answer is complete. What is left in the buffer does not belong to it.
+    kWhole,
+    /// The answer is malformed; `fault()` says why. Final.
+    kBroken,
+  };
+
+  static constexpr size_t kMaxHeadBytes = 64 * 1024;
+  /// Longest part of a body passed on at once.
+  static constexpr size_t kMaxDataBytes = 64 * 1024;
+  /// Size line of a chunk with its extensions.
+  static constexpr size_t kMaxChunkLineBytes = 1024;
+
+  /// `no_body`: the request was HEAD.
+  explicit AnswerParser(bool no_body) : no_body_(no_body) {}
+
+  /// Takes the next piece from `input`.
+  Step Next(evbuffer* input);
+
+  int status() const { return status_; }
+  const HttpHeaders& headers() const { return headers_; }
+  /// Content-Length that the answer gave.
+  const std::optional<int64_t>& content_length() const { return content_length_; }
+  /// May be moved from.
+  std::string& data() { return data_; }
+  const std::string& fault() const { return fault_; }
+  /// True if the connection may carry another request after this answer.
+  bool keep_alive() const { return keep_alive_; }
+
+ private:
+  enum class State {
+    kStatusLine,
+    kHeaders,
+    kBody,
+    kChunkSize,
+    kChunkData,
+    kChunkEnd,
+    kTrailer,
+    kDone
+  };
+
+  Step Fail(const std::string& fault);
+  /// Takes one line; sets `*step` to what has to be returned if there is none.
+  bool TakeLine(evbuffer* input, size_t limit, std::string* line, Step* step);
+  Step ReadStatusLine(evbuffer* input);
+  Step ReadHeaders(evbuffer* input);
+  bool ReadHeaderLine(const std::string& line);
+  Step EndHead();
+  Step ReadBody(evbuffer* input);
+  Step ReadChunkSize(evbuffer* input);
+  Step ReadChunkEnd(evbuffer* input);
+  Step ReadTrailer(evbuffer* input);
+  Step TakeData(evbuffer* input);
+
+  bool no_body_;
+  State state_ = State::kStatusLine;
+  bool chunked_ = false;
+  bool keep_alive_ = false;
+  bool http_1_1_ = false;
+  int status_ = 0;
+  size_t head_bytes_ = 0;
+  int64_t remaining_ = 0;
+  std::optional<int64_t> content_length_;
+  HttpHeaders headers_;
+  std::string data_;
+  std::string fault_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBUPSTREAM_ANSWER_PARSER_H_
