Add the stand-in upstream

Runs requests in slots on the caller server, announces itself, keeps a ledger of executions and shows faults on demand: slow, silent, shedding, draining, false load, broken answers.

Checked by hand with curl: whole, chunked and broken 20 MB answers, 400, 413 and 431 refusals, SIGTERM with exit status 0.

--- /dev/null
+++ b/src/standin_upstream/announcer.h
@@ -0,0 +1,51 @@
+#ifndef CAMPHORHOIST_STANDIN_UPSTREAM_ANNOUNCER_H_
+#define CAMPHORHOIST_STANDIN_UPSTREAM_ANNOUNCER_H_
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "camphorhoist/net_address.h"
+#include "libbase/event_ptr.h"
+#include "libbase/http_client.h"
+#include "libupstream/announcement.h"
+
+namespace camphorhoist {
+
+/// Announces the upstream and reports its load each second to the first node that answers.
+///
+/// Thread safety: none; use on the thread of the event loop.
+class Announcer {
+ public:
+  static constexpr std::chrono::seconds kInterval{1};
+  static constexpr std::chrono::milliseconds kTimeout{500};
+
+  /// `announcement` and `load` give the current values.
+  Announcer(event_base* base, std::vector<NetAddress> nodes,
+            std::function<Announcement()> announcement, std::function<double()> load);
+
+  void Start();
+  /// Announces at once; `done` runs when a node has answered or all have failed.
+  void AnnounceNow(std::function<void()> done);
+  /// Says to all nodes that the upstream leaves and stops announcing.
+  void Leave(std::function<void()> done);
+  /// Stops or restarts the announcements without saying so.
+  void SetSuspended(bool suspended) { suspended_ = suspended; }
+
+ private:
+  void Announce(size_t node, std::function<void()> done);
+  void ReportLoad(size_t node);
+
+  std::vector<NetAddress> nodes_;
+  std::function<Announcement()> announcement_;
+  std::function<double()> load_;
+  bool suspended_ = false;
+  size_t leaves_pending_ = 0;
+  Timer timer_;
+  HttpClient client_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_STANDIN_UPSTREAM_ANNOUNCER_H_
--- /dev/null
+++ b/src/standin_upstream/main.cc
@@ -0,0 +1,120 @@
+// Stand-in upstream: see service.h for what it serves.
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include "libbase/event_ptr.h"
+#include "libbase/log.h"
+#include "libcaller/caller_server.h"
+#include "standin_upstream/announcer.h"
+#include "standin_upstream/service.h"
+#include "standin_upstream/settings.h"
+
+namespace camphorhoist {
+namespace {
+
+// A node that was told of the draining may already have written a request; it arrives within this.
+constexpr std::chrono::milliseconds kDrainGrace{100};
+
+/// The process: service, server and announcements, and the order of a graceful stop.
+class Program {
+ public:
+  explicit Program(const StandinSettings& settings)
+      : settings_(settings),
+        instance_(std::to_string(WallClockMs()) + "-" + std::to_string(getpid())),
+        base_(event_base_new()),
+        service_(
+            base_.get(), settings, instance_, [this] { Drain(); },
+            [this] { announcer_.SetSuspended(!service_.control().announce); }),
+        server_(base_.get(), &service_),
+        announcer_(
+            base_.get(), settings.nodes, [this] { return Describe(); },
+            [this] { return service_.ReportedLoad(); }),
+        grace_(base_.get(), [this] { StopServer(); }),
+        terminate_(evsignal_new(base_.get(), SIGTERM, &Program::OnSignal, this)),
+        interrupt_(evsignal_new(base_.get(), SIGINT, &Program::OnSignal, this)) {}
+
+  int Run() {
+    const std::error_code ec = server_.Listen(settings_.listen);
+    if (ec) {
+      std::cerr << "--listen: " << settings_.listen.ToString() << ": " << ec.message() << "\n";
+      return 1;
+    }
+    event_add(terminate_.get(), nullptr);
+    event_add(interrupt_.get(), nullptr);
+    announcer_.Start();
+    std::cout << "listening " << server_.address().ToString() << std::endl;
+    event_base_dispatch(base_.get());
+    return 0;
+  }
+
+ private:
+  static void OnSignal(evutil_socket_t, short, void* arg) {  // NOLINT(google-runtime-int): libevent
+    auto* self = static_cast<Program*>(arg);
+    self->exit_when_drained_ = true;
+    self->Drain();
+  }
+
+  Announcement Describe() const {
+    Announcement announcement;
+    announcement.service = settings_.service;
+    announcement.address = server_.address();
+    announcement.slots = settings_.slots;
+    announcement.connections = settings_.connections;
+    announcement.state = service_.state();
+    announcement.instance = instance_;
+    announcement.accepts_cancel = true;
+    return announcement;
+  }
+
+  // Drained on demand, the process only announces it; on a signal it also ends.
+  void Drain() {
+    service_.StartDraining();
+    announcer_.AnnounceNow([this] {
+      if (exit_when_drained_) grace_.StartOnce(kDrainGrace);
+    });
+  }
+
+  void StopServer() {
+    server_.StopAccepting(
+        [this] { announcer_.Leave([this] { event_base_loopbreak(base_.get()); }); });
+  }
+
+  StandinSettings settings_;
+  std::string instance_;
+  EventBasePtr base_;
+  bool exit_when_drained_ = false;
+  StandinService service_;
+  CallerServer server_;
+  Announcer announcer_;
+  Timer grace_;
+  EventPtr terminate_;
+  EventPtr interrupt_;
+};
+
+}  // namespace
+}  // namespace camphorhoist
+
+int main(int argc, const char** argv) {
+  using camphorhoist::Findings;
+  Findings findings;
+  const auto settings = camphorhoist::ReadStandinSettings(argc, argv, &findings);
+  if (!settings) return 0;
+  camphorhoist::ConfigureLogging(settings->log_level, "standin_upstream", "--log-level", &findings);
+  if (!settings->ledger_file.empty() && !std::ofstream(settings->ledger_file, std::ios::app)) {
+    findings.Add("--ledger", settings->ledger_file + " cannot be opened for writing");
+  }
+  if (!findings.empty()) {
+    std::cerr << findings.ToString() << "\n";
+    return 2;
+  }
+  signal(SIGPIPE, SIG_IGN);
+  return camphorhoist::Program(*settings).Run();
+}
