Share the locality tiers between libcall and libmember

Cause: both libraries defined LocalityTier, and libconfig and libplatform both defined kMaxObjectBytes, which broke the one-definition rule once one program used them together. Conclusion: the tiers have a header of their own; the limit of libconfig is kMaxConfigObjectBytes.

--- a/include/camphorhoist/call_types.h
+++ b/include/camphorhoist/call_types.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <tuple>
 
+#include "camphorhoist/locality.h"
 #include "camphorhoist/net_address.h"
 
 namespace camphorhoist {
@@ -17,10 +18,6 @@
 /// Expected run time of a call compared with the other calls of the mesh.
 enum class WorkClass : uint8_t { kShort, kLong };
 
-/// Distance of an upstream from the sender, nearest first.
-enum class LocalityTier : uint8_t { kSameDataCentre = 0, kSameRegion = 1, kElsewhere = 2 };
-constexpr size_t kLocalityTiers = 3;
-
 /// The upstream that an attempt is sent to and the node through which it is reached.
 ///
 /// Value type. Thread safety: distinct objects may be used from distinct threads.
--- a/include/camphorhoist/config_page.h
+++ b/include/camphorhoist/config_page.h
@@ -16,7 +16,7 @@
 /// Number of pages of the configuration.
 constexpr size_t kPageCount = 64;
 /// Largest value that the platform holds, in bytes.
-constexpr size_t kMaxObjectBytes = 1'000'000;
+constexpr size_t kMaxConfigObjectBytes = 1'000'000;
 /// Length of a content hash as text.
 constexpr size_t kHashLength = 64;
 
--- a/include/camphorhoist/endpoint_table.h
+++ b/include/camphorhoist/endpoint_table.h
@@ -9,21 +9,19 @@
 #include <string>
 #include <vector>
 
+#include "camphorhoist/locality.h"
 #include "camphorhoist/member.h"
 #include "camphorhoist/membership.h"
 
 namespace camphorhoist {
 
-/// Nearness of an endpoint to the own node, nearest first.
-enum class LocalityTier : uint8_t { kSameDataCentre, kSameRegion, kRest };
-
 /// An endpoint that may take new work.
 struct EndpointRef {
   MemberId node;
   /// Incarnation of the node; travels with calls.
   uint64_t incarnation = 0;
   EndpointInfo info;
-  LocalityTier tier = LocalityTier::kRest;
+  LocalityTier tier = LocalityTier::kElsewhere;
   std::string data_centre;
 };
 
--- a/src/camphorhoistd/call_task.cc
+++ b/src/camphorhoistd/call_task.cc
@@ -21,10 +21,9 @@
 
 /// Value of a numeric header, bounded to `max`; `absent` if it is missing or malformed.
 int64_t NumberHeader(const CallRequest& request, const char* name, int64_t max, int64_t absent) {
-  const auto it =
-      std::find_if(request.headers.begin(), request.headers.end(), [name](const auto& header) {
-        return strcasecmp(header.first.c_str(), name) == 0;
-      });
+  const auto it = std::find_if(
+      request.headers.begin(), request.headers.end(),
+      [name](const auto& header) { return strcasecmp(header.first.c_str(), name) == 0; });
   if (it == request.headers.end() || it->second.empty() || it->second.size() > 12) return absent;
   if (it->second.find_first_not_of("0123456789") != std::string::npos) return absent;
   return std::min<int64_t>(std::stoll(it->second), max);
@@ -113,9 +112,8 @@
   facts.idempotent = match.idempotent;
   facts.work_class = classifier_.Classify(match.route->name());
   facts.depth = static_cast<uint32_t>(NumberHeader(request, kDepthHeader, kMaxDepth, 0));
-  const int64_t timeout =
-      std::min(match.timeout_ms(),
-               NumberHeader(request, kTimeoutHeader, kMaxTimeoutMs, match.timeout_ms()));
+  const int64_t timeout = std::min(
+      match.timeout_ms(), NumberHeader(request, kTimeoutHeader, kMaxTimeoutMs, match.timeout_ms()));
   facts.deadline = Deadline::After(Now(), std::chrono::milliseconds(timeout));
   facts.hedge = options_.hedging && snapshot_->FindService(destination.service)->hedge;
   return facts;
@@ -134,8 +132,8 @@
       BalancerCandidate candidate;
       candidate.endpoint = {service, it.info.upstream, it.node, it.incarnation};
       candidate.tier = it.tier;
-      candidate.weight = static_cast<uint32_t>(
-          settings != nullptr ? settings->weight : kDefaultEndpointWeight);
+      candidate.weight =
+          static_cast<uint32_t>(settings != nullptr ? settings->weight : kDefaultEndpointWeight);
       candidate.slots = it.info.slots;
       candidates.push_back(std::move(candidate));
     }
--- a/src/camphorhoistd/call_transport.cc
+++ b/src/camphorhoistd/call_transport.cc
@@ -89,8 +89,7 @@
   std::function<void()> on_done_;
 };
 
-CallTransport::CallTransport(event_base* base, NetAddress self, PeerPool* peers,
-                             NodeService* local)
+CallTransport::CallTransport(event_base* base, NetAddress self, PeerPool* peers, NodeService* local)
     : self_(std::move(self)),
       peers_(peers),
       service_(local),
@@ -99,8 +98,7 @@
 CallTransport::~CallTransport() = default;
 
 CallTransport::Handle CallTransport::Call(const NetAddress& node, bool bulk,
-                                          const NodeCallRequest& request,
-                                          AnswerHandler* handler) {
+                                          const NodeCallRequest& request, AnswerHandler* handler) {
   const Handle handle = next_++;
   Entry& entry = calls_[handle];
   if (node != self_) {
--- a/src/camphorhoistd/call_transport.h
+++ b/src/camphorhoistd/call_transport.h
@@ -10,8 +10,8 @@
 
 namespace camphorhoist {
 
-/// Carries attempts to the node of the chosen upstream: over RPC, or directly when that node is this
-/// process.
+/// Carries attempts to the node of the chosen upstream: over RPC, or directly when that node is
+/// this process.
 ///
 /// Thread safety: none; use on the loop's thread.
 class CallTransport {
--- a/src/camphorhoistd/member_task.cc
+++ b/src/camphorhoistd/member_task.cc
@@ -21,9 +21,8 @@
       news_(news),
       membership_(options),
       endpoints_(options.data_centre, options.region),
-      socket_(base, [this](const NetAddress& from, const std::string& data) {
-        OnDatagram(from, data);
-      }),
+      socket_(base,
+              [this](const NetAddress& from, const std::string& data) { OnDatagram(from, data); }),
       tick_(base, [this] { Carry(membership_.Tick(Now(), *rng_)); }) {}
 
 std::error_code MemberTask::Start() {
--- a/src/camphorhoistd/proxied_call.cc
+++ b/src/camphorhoistd/proxied_call.cc
@@ -72,11 +72,10 @@
 ProxiedCall::ProxiedCall(CallTask* owner, Parts parts)
     : owner_(owner),
       parts_(std::move(parts)),
-      coordinator_(
-          CallContext{&owner->balancer_, &owner->retry_budget_,
-                      owner->HedgeOf(parts_.facts.service), owner->rng_,
-                      [owner] { return owner->NextId(); }},
-          parts_.facts),
+      coordinator_(CallContext{&owner->balancer_, &owner->retry_budget_,
+                               owner->HedgeOf(parts_.facts.service), owner->rng_,
+                               [owner] { return owner->NextId(); }},
+                   parts_.facts),
       timer_(owner->base_, [this] { Carry(coordinator_.OnTimer(Now())); }) {}
 
 ProxiedCall::~ProxiedCall() {
@@ -135,8 +134,7 @@
   auto attempt = std::make_unique<Attempt>(this, send.attempt);
   Attempt* raw = attempt.get();
   attempts_.emplace(send.attempt, std::move(attempt));
-  raw->set_handle(
-      owner_->transport_->Call(send.endpoint.node, request.long_work, request, raw));
+  raw->set_handle(owner_->transport_->Call(send.endpoint.node, request.long_work, request, raw));
 }
 
 void ProxiedCall::Resolve(const ResolveAttempt& resolve) {
--- a/src/camphorhoistd/settings.cc
+++ b/src/camphorhoistd/settings.cc
@@ -170,8 +170,7 @@
     {"platform-writes-per-second", "N", "budget of platform writes (default 5)", false,
      &ApplyRate<&Settings::platform_writes_per_second>},
     {"max-calls", "N", "calls held at once (default 4096)", false, &ApplyMaxCalls},
-    {"max-buffered-mb", "MB", "response bytes held at once (default 64)", false,
-     &ApplyMaxBuffered},
+    {"max-buffered-mb", "MB", "response bytes held at once (default 64)", false, &ApplyMaxBuffered},
     {"balancer", "NAME", "p2c, or round_robin as a baseline", false,
      &ApplyChoice<&Settings::balancer, Balancers>},
     {"admission", "NAME", "default, or no_limit or single_queue as baselines", false,
@@ -231,8 +230,8 @@
   std::vector<const char*> argv;
   for (const std::string& it : args) argv.push_back(it.c_str());
   argv.push_back(nullptr);
-  const std::unique_ptr<poptContext_s, PoptDeleter> context(poptGetContext(
-      "camphorhoistd", static_cast<int>(args.size()), argv.data(), table.data(), 0));
+  const std::unique_ptr<poptContext_s, PoptDeleter> context(
+      poptGetContext("camphorhoistd", static_cast<int>(args.size()), argv.data(), table.data(), 0));
 
   SettingsAction action = SettingsAction::kRun;
   int value = 0;
--- a/src/camphorhoistd/settings_test.cc
+++ b/src/camphorhoistd/settings_test.cc
@@ -33,18 +33,23 @@
   // Guards against a start that shows only the first fault.
   void ReportsAllFaultsTogether() {
     Findings findings;
-    ParseSettings({"camphorhoistd", "--log-level=loud"},
-                  [](const std::string&) { return std::nullopt; }, &findings);
+    ParseSettings(
+        {"camphorhoistd", "--log-level=loud"}, [](const std::string&) { return std::nullopt; },
+        &findings);
     CPPUNIT_ASSERT_EQUAL(size_t{7}, findings.items().size());
   }
 
   void ReportsEachFaultWithItsPlace() {
     const std::vector<std::pair<std::string, std::string>> cases = {
-        {"--mesh=Has Space", "--mesh"},        {"--caller-listen=localhost:80", "--caller-listen"},
-        {"--seeds=1.2.3.4:5,x", "--seeds"},    {"--platform=1.2.3.4:0", "--platform"},
+        {"--mesh=Has Space", "--mesh"},
+        {"--caller-listen=localhost:80", "--caller-listen"},
+        {"--seeds=1.2.3.4:5,x", "--seeds"},
+        {"--platform=1.2.3.4:0", "--platform"},
         {"--drain-timeout-ms=-1", "--drain-timeout-ms"},
-        {"--max-calls=0", "--max-calls"},      {"--hedging=maybe", "--hedging"},
-        {"--balancer=best", "--balancer"},     {"--unknown", "--unknown"},
+        {"--max-calls=0", "--max-calls"},
+        {"--hedging=maybe", "--hedging"},
+        {"--balancer=best", "--balancer"},
+        {"--unknown", "--unknown"},
         {"stray", "stray"},
     };
     for (const auto& it : cases) {
--- a/src/camphorhoistd/upstream_task.cc
+++ b/src/camphorhoistd/upstream_task.cc
@@ -73,7 +73,8 @@
   Upstream(event_base* base, const Options& options, const Announcement& announcement_in)
       : announcement(announcement_in),
         client(base, announcement.address, static_cast<size_t>(announcement.connections)),
-        gate(*UpstreamGate::Create(options.admission, GateOptionsOf(options, announcement), Now())) {
+        gate(
+            *UpstreamGate::Create(options.admission, GateOptionsOf(options, announcement), Now())) {
     client.SetAcceptsCancel(announcement.accepts_cancel);
   }
 
@@ -307,14 +308,13 @@
   auto call = std::make_unique<Call>(this, upstream, std::move(request), writer);
   const GateCall facts = call->Facts();
   calls_.emplace(id, std::move(call));
-  writer->SetOnCancelled([this, upstream, id] {
-    Carry(upstream.get(), upstream->gate.Cancel(Now(), id));
-  });
+  writer->SetOnCancelled(
+      [this, upstream, id] { Carry(upstream.get(), upstream->gate.Cancel(Now(), id)); });
   Carry(upstream.get(), upstream->gate.Offer(Now(), facts));
 }
 
-// Asks every gate, since an upstream may have been replaced after the call was sent. A gate that does
-// not know the id leaves a tombstone.
+// Asks every gate, since an upstream may have been replaced after the call was sent. A gate that
+// does not know the id leaves a tombstone.
 ResolveReply UpstreamTask::OnResolve(const CallId& id, uint64_t target_incarnation) {
   ResolveReply reply;
   if (target_incarnation != options_.incarnation) return reply;
--- a/src/camphorhoistd/upstream_task.h
+++ b/src/camphorhoistd/upstream_task.h
@@ -20,8 +20,8 @@
 
 namespace camphorhoist {
 
-/// Owns the upstreams that announced themselves to this node: announcements, admission, connections.
-/// It is the only sender to them.
+/// Owns the upstreams that announced themselves to this node: announcements, admission,
+/// connections. It is the only sender to them.
 ///
 /// Thread safety: none; use on the loop's thread.
 class UpstreamTask {
--- a/src/libconfig/config_head.cc
+++ b/src/libconfig/config_head.cc
@@ -116,7 +116,7 @@
                                      Findings* findings) {
   Findings found;
   ConfigHead head;
-  if (text.size() > kMaxObjectBytes) {
+  if (text.size() > kMaxConfigObjectBytes) {
     found.Add(place, "is larger than 1000000 bytes");
   } else if (const std::optional<json> value = ParseJson(text, place, &found)) {
     JsonReader reader(*value, place, &found);
--- a/src/libconfig/config_page.cc
+++ b/src/libconfig/config_page.cc
@@ -55,7 +55,7 @@
                                    Findings* findings) {
   Findings found;
   std::vector<StoredRecord> records;
-  if (body.size() > kMaxObjectBytes) {
+  if (body.size() > kMaxConfigObjectBytes) {
     found.Add(place, "is larger than 1000000 bytes");
   } else if (const auto value = ParseJson(body, place, &found)) {
     JsonReader reader(*value, place, &found);
--- a/src/libconfig/snapshot.cc
+++ b/src/libconfig/snapshot.cc
@@ -41,7 +41,7 @@
 
 void CheckPages(const ConfigPages& pages, const ConfigVersion& version, Findings* findings) {
   for (size_t n = 0; n < kPageCount; ++n) {
-    if (pages[n]->encoded_bytes() > kMaxObjectBytes) {
+    if (pages[n]->encoded_bytes() > kMaxConfigObjectBytes) {
       findings->Add("page " + std::to_string(n), "would be larger than 1000000 bytes");
     }
     for (const StoredRecord& it : pages[n]->records()) {
