--- a/src/camphorhoistd/call_task.cc
+++ b/src/camphorhoistd/call_task.cc
@@ -14,7 +14,7 @@
 
 constexpr char kTimeoutHeader[] = "X-Camphorhoist-Timeout-Ms";
 constexpr char kDepthHeader[] = "X-Camphorhoist-Depth";
-constexpr int64_t kMaxTimeoutMs = 24LL * 60 * 60 * 1000;
+constexpr int64_t kMaxHeaderTimeoutMs = 24LL * 60 * 60 * 1000;
 constexpr int64_t kMaxDepth = 64;
 
 CallTime Now() { return std::chrono::steady_clock::now(); }
@@ -112,8 +112,9 @@
   facts.idempotent = match.idempotent;
   facts.work_class = classifier_.Classify(match.route->name());
   facts.depth = static_cast<uint32_t>(NumberHeader(request, kDepthHeader, kMaxDepth, 0));
-  const int64_t timeout = std::min(
-      match.timeout_ms(), NumberHeader(request, kTimeoutHeader, kMaxTimeoutMs, match.timeout_ms()));
+  const int64_t timeout =
+      std::min(match.timeout_ms(),
+               NumberHeader(request, kTimeoutHeader, kMaxHeaderTimeoutMs, match.timeout_ms()));
   facts.deadline = Deadline::After(Now(), std::chrono::milliseconds(timeout));
   facts.hedge = options_.hedging && snapshot_->FindService(destination.service)->hedge;
   return facts;
--- /dev/null
+++ b/src/camphorhoistd/operator_task.h
@@ -0,0 +1,57 @@
+#ifndef CAMPHORHOIST_CAMPHORHOISTD_OPERATOR_TASK_H_
+#define CAMPHORHOIST_CAMPHORHOISTD_OPERATOR_TASK_H_
+
+#include <functional>
+#include <string>
+
+#include "camphorhoist/operator_api.h"
+#include "camphorhoistd/call_task.h"
+#include "camphorhoistd/config_task.h"
+#include "camphorhoistd/member_task.h"
+#include "camphorhoistd/settings.h"
+#include "camphorhoistd/upstream_task.h"
+#include "libnode/node_server.h"
+#include "libplatform/budgeted_object_store.h"
+
+namespace camphorhoist {
+
+/// Answers operators from the state of the other tasks.
+///
+/// Thread safety: none; use on the loop's thread.
+class OperatorTask : public OperatorBackend {
+ public:
+  /// The tasks to read from; all outlive the operator task.
+  struct Sources {
+    const Settings* settings = nullptr;
+    const NodeIdentity* identity = nullptr;
+    ConfigTask* config = nullptr;
+    const MemberTask* member = nullptr;
+    const CallTask* calls = nullptr;
+    const UpstreamTask* upstreams = nullptr;
+    const NodeServer* server = nullptr;
+    const PeerPool* peers = nullptr;
+    const CallMeter* platform = nullptr;
+    /// Starts the graceful stop of the process.
+    std::function<void()> drain;
+    std::function<bool()> draining;
+  };
+
+  explicit OperatorTask(Sources sources) : sources_(std::move(sources)) {}
+
+  void Apply(ChangeRequest request, std::function<void(ChangeResult)> callback) override;
+  void ChangeSetOutcome(const std::string& id, std::function<void(ChangeResult)> callback) override;
+  void Records(const RecordsRequest& request, std::function<void(RecordsResult)> callback) override;
+  void Status(std::function<void(StatusResult)> callback) override;
+  void Dump(std::function<void(DumpResult)> callback) override;
+  void Drain(std::function<void(DrainResult)> callback) override;
+
+ private:
+  Sources sources_;
+};
+
+/// State of the whole process as JSON text, for the dump.
+std::string WriteDump(const OperatorTask::Sources& sources);
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_CAMPHORHOISTD_OPERATOR_TASK_H_
--- a/src/libnode/event_loop.cc
+++ b/src/libnode/event_loop.cc
@@ -34,7 +34,7 @@
   signal(SIGPIPE, SIG_IGN);
 }
 
-EventLoop::~EventLoop() {
+EventLoop::~EventLoop() noexcept {
   // KJ requires an empty queue; closing RPC connections leaves events behind.
   wait_scope_.poll();
 }
--- a/src/libnode/event_loop.h
+++ b/src/libnode/event_loop.h
@@ -31,7 +31,7 @@
 class EventLoop {
  public:
   EventLoop();
-  ~EventLoop();
+  ~EventLoop() noexcept;
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
--- /dev/null
+++ b/src/libplatform/committer.cc
@@ -0,0 +1,99 @@
+#include "libplatform/committer.h"
+
+#include <utility>
+
+#include "camphorhoist/error.h"
+
+namespace camphorhoist {
+
+namespace {
+
+ReadResult ToReadResult(const GetResult& result) {
+  if (!result.error) return ObjectFound{result.version, result.body};
+  if (result.error == Errc::kNotFound) return ObjectNotFound{};
+  return OperationFailed{result.error.message()};
+}
+
+WriteResult ToWriteResult(const PutResult& result) {
+  if (!result.error) return WriteDone{result.version};
+  if (result.error == Errc::kConflict) return WriteConflict{};
+  if (result.error == Errc::kUnknownEffect) return WriteUnknown{result.error.message()};
+  return OperationFailed{result.error.message()};
+}
+
+int AttemptOf(const AcceptEffect& effect) {
+  if (const auto* read = std::get_if<ReadObject>(&effect)) return read->attempt;
+  if (const auto* write = std::get_if<WriteObject>(&effect)) return write->attempt;
+  return 0;
+}
+
+}  // namespace
+
+Committer::Committer(event_base* base, ObjectStore* store)
+    : store_(store),
+      limit_(base, [this] { Finish(acceptance_->OnDeadline()); }),
+      delay_(base,
+             [this] {
+               const AcceptEffect effect = std::move(*delayed_);
+               delayed_.reset();
+               Execute(effect);
+             }),
+      next_(base, [this] { StartNext(); }) {}
+
+Committer::~Committer() { *alive_ = false; }
+
+void Committer::Commit(ChangeSet change_set, Snapshot::Ptr base, int fleet_schema,
+                       Callback callback) {
+  if (queue_.size() >= kMaxWaiting) {
+    AcceptOutcome outcome;
+    outcome.change_set_id = change_set.id;
+    outcome.findings.Add(change_set.id, "too many change sets wait on this node; nothing was done");
+    return callback(outcome, nullptr);
+  }
+  queue_.push_back({std::move(change_set), std::move(base), fleet_schema, std::move(callback)});
+  if (queue_.size() == 1) next_.StartOnce(std::chrono::microseconds(0));
+}
+
+void Committer::StartNext() {
+  if (queue_.empty() || acceptance_) return;
+  const Job& job = queue_.front();
+  acceptance_.emplace(job.change_set, job.base, job.fleet_schema);
+  limit_.StartOnce(kTimeLimit);
+  Carry(acceptance_->Start());
+}
+
+void Committer::Carry(AcceptEffect effect) {
+  if (const auto* outcome = std::get_if<AcceptOutcome>(&effect)) return Finish(*outcome);
+  if (AttemptOf(effect) == 0) return Execute(effect);
+  delayed_ = std::move(effect);
+  delay_.StartOnce(kRetryDelay);
+}
+
+void Committer::Execute(const AcceptEffect& effect) {
+  const uint64_t run = run_;
+  if (const auto* read = std::get_if<ReadObject>(&effect)) {
+    store_->Get(read->key, [this, run, alive = alive_](const GetResult& result) {
+      if (*alive && run == run_) Carry(acceptance_->OnRead(ToReadResult(result)));
+    });
+  } else if (const auto* write = std::get_if<WriteObject>(&effect)) {
+    store_->Put(write->key, write->body, write->expected_version.value_or(0),
+                [this, run, alive = alive_](const PutResult& result) {
+                  if (*alive && run == run_) Carry(acceptance_->OnWrite(ToWriteResult(result)));
+                });
+  }
+}
+
+void Committer::Finish(const AcceptOutcome& outcome) {
+  const Snapshot::Ptr snapshot = acceptance_->accepted_snapshot();
+  const Callback callback = std::move(queue_.front().callback);
+  queue_.pop_front();
+  acceptance_.reset();
+  delayed_.reset();
+  ++run_;
+  limit_.Stop();
+  delay_.Stop();
+  if (!queue_.empty()) next_.StartOnce(std::chrono::microseconds(0));
+  callback(outcome, snapshot);
+}
+
+}  // namespace camphorhoist
