Add the open-loop load tool

Poisson arrivals from a seed, latency from the intended start, whole bodies compared byte by byte, and a comparison with the ledgers of the upstreams.

--- /dev/null
+++ b/src/camphorhoist_load/arrivals.h
@@ -0,0 +1,54 @@
+#ifndef CAMPHORHOIST_CAMPHORHOIST_LOAD_ARRIVALS_H_
+#define CAMPHORHOIST_CAMPHORHOIST_LOAD_ARRIVALS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "camphorhoist/finding.h"
+
+namespace camphorhoist {
+
+/// A stretch of time with one rate of arrivals.
+struct RateStep {
+  /// Requests per second.
+  double rate = 0;
+  double seconds = 0;
+};
+
+/// Parses "rate:seconds,rate:seconds,..."; adds faults to `findings` at `place`.
+std::vector<RateStep> ParseSteps(const std::string& text, const std::string& place,
+                                 Findings* findings);
+
+struct Arrival {
+  /// Since the start of the run.
+  std::chrono::microseconds at{0};
+  size_t step = 0;
+};
+
+/// Poisson arrivals over a series of steps; the same seed gives the same arrivals.
+///
+/// Thread safety: none.
+class ArrivalSchedule {
+ public:
+  ArrivalSchedule(std::vector<RateStep> steps, uint64_t seed);
+
+  /// The next arrival; nothing after the last step.
+  std::optional<Arrival> Next();
+
+ private:
+  std::vector<RateStep> steps_;
+  std::mt19937_64 random_;
+  size_t step_ = 0;
+  /// Seconds since the start.
+  double step_end_;
+  double now_ = 0;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_CAMPHORHOIST_LOAD_ARRIVALS_H_
--- /dev/null
+++ b/src/camphorhoist_load/settings.cc
@@ -0,0 +1,117 @@
+#include "camphorhoist_load/settings.h"
+
+#include <popt.h>
+
+#include <cstdlib>
+#include <memory>
+#include <sstream>
+
+namespace camphorhoist {
+
+namespace {
+
+struct ContextDeleter {
+  void operator()(poptContext context) const { poptFreeContext(context); }
+};
+using ContextPtr = std::unique_ptr<poptContext_s, ContextDeleter>;
+
+struct RawSettings {
+  char* target = nullptr;
+  char* mix = nullptr;
+  char* steps = nullptr;
+  char* results = nullptr;
+  char* json = nullptr;
+  char* ledgers = nullptr;
+  double rate = 100;
+  double duration_s = 10;
+  int max_outstanding = 2000;
+  int timeout_ms = 5000;
+  int drain_ms = 30000;
+  int settle_ms = 1000;
+  long long seed = 1;  // NOLINT(google-runtime-int): popt's type
+
+  ~RawSettings() {
+    for (char* it : {target, mix, steps, results, json, ledgers}) std::free(it);
+  }
+};
+
+std::vector<std::string> Split(const char* text) {
+  std::vector<std::string> parts;
+  std::istringstream in(text == nullptr ? "" : text);
+  for (std::string it; std::getline(in, it, ',');) parts.push_back(it);
+  return parts;
+}
+
+void CheckAtLeast(const char* flag, int value, int least, Findings* findings) {
+  if (value < least) findings->Add(flag, "is below " + std::to_string(least));
+}
+
+std::vector<RateStep> ReadSteps(const RawSettings& raw, Findings* findings) {
+  if (raw.steps != nullptr) return ParseSteps(raw.steps, "--steps", findings);
+  std::ostringstream text;
+  text << raw.rate << ":" << raw.duration_s;
+  return ParseSteps(text.str(), "--rate, --duration-s", findings);
+}
+
+LoadSettings Convert(const RawSettings& raw, Findings* findings) {
+  LoadSettings settings;
+  for (const std::string& it : Split(raw.target)) {
+    const auto address = NetAddress::Parse(it);
+    if (address) settings.targets.push_back(*address);
+    if (!address) findings->Add("--target", "\"" + it + "\" is not ip:port");
+  }
+  if (raw.target == nullptr) findings->Add("--target", "is missing");
+  settings.steps = ReadSteps(raw, findings);
+  settings.mix = raw.mix == nullptr ? std::vector<RequestShape>(1) : ReadMix(raw.mix, findings);
+  CheckAtLeast("--max-outstanding", raw.max_outstanding, 1, findings);
+  CheckAtLeast("--timeout-ms", raw.timeout_ms, 1, findings);
+  CheckAtLeast("--drain-ms", raw.drain_ms, 0, findings);
+  CheckAtLeast("--settle-ms", raw.settle_ms, 0, findings);
+  settings.seed = static_cast<uint64_t>(raw.seed);
+  settings.max_outstanding = static_cast<size_t>(raw.max_outstanding);
+  settings.timeout = std::chrono::milliseconds(raw.timeout_ms);
+  settings.drain = std::chrono::milliseconds(raw.drain_ms);
+  settings.settle = std::chrono::milliseconds(raw.settle_ms);
+  if (raw.results != nullptr) settings.results_file = raw.results;
+  if (raw.json != nullptr) settings.json_file = raw.json;
+  settings.ledgers = Split(raw.ledgers);
+  return settings;
+}
+
+}  // namespace
+
+std::optional<LoadSettings> ReadLoadSettings(int argc, const char** argv, Findings* findings) {
+  RawSettings raw;
+  int help = 0;
+  const poptOption options[] = {
+      {"target", 0, POPT_ARG_STRING, &raw.target, 0, "where to send", "IP:PORT[,...]"},
+      {"rate", 0, POPT_ARG_DOUBLE, &raw.rate, 0, "requests per second", "N"},
+      {"duration-s", 0, POPT_ARG_DOUBLE, &raw.duration_s, 0, "length of the run", "S"},
+      {"steps", 0, POPT_ARG_STRING, &raw.steps, 0, "instead of rate and duration",
+       "RATE:SECONDS,..."},
+      {"seed", 0, POPT_ARG_LONGLONG, &raw.seed, 0, "seed of arrivals and mix", "N"},
+      {"mix", 0, POPT_ARG_STRING, &raw.mix, 0, "request shapes, file or JSON array", "MIX"},
+      {"max-outstanding", 0, POPT_ARG_INT, &raw.max_outstanding, 0, "requests without a result",
+       "N"},
+      {"timeout-ms", 0, POPT_ARG_INT, &raw.timeout_ms, 0, "time to the start of an answer", "MS"},
+      {"drain-ms", 0, POPT_ARG_INT, &raw.drain_ms, 0, "wait for the last answers", "MS"},
+      {"settle-ms", 0, POPT_ARG_INT, &raw.settle_ms, 0, "wait before reading ledgers", "MS"},
+      {"results", 0, POPT_ARG_STRING, &raw.results, 0, "file with one line per request", "FILE"},
+      {"json", 0, POPT_ARG_STRING, &raw.json, 0, "file for the JSON report", "FILE"},
+      {"check-ledger", 0, POPT_ARG_STRING, &raw.ledgers, 0, "ledgers to compare with",
+       "URL|file:PATH,..."},
+      {"help", '?', POPT_ARG_NONE, &help, 0, "print this text", nullptr},
+      POPT_TABLEEND};
+  const ContextPtr context(poptGetContext("camphorhoist_load", argc, argv, options, 0));
+  const int rc = poptGetNextOpt(context.get());
+  if (rc < -1) findings->Add(poptBadOption(context.get(), 0), poptStrerror(rc));
+  const char* extra = poptGetArg(context.get());
+  if (extra != nullptr) findings->Add(extra, "is not a flag");
+  if (help != 0) {
+    poptPrintHelp(context.get(), stdout, 0);
+    return std::nullopt;
+  }
+  return Convert(raw, findings);
+}
+
+}  // namespace camphorhoist
