Send answers without delay and use exact timers

200 KB answers took 47 ms at p90 on loopback: their last part waited for the caller's delayed acknowledgement. Ledger runs carry the instance, so that one read from two sources counts once.

--- a/src/libcaller/call_handler.h
+++ b/src/libcaller/call_handler.h
@@ -34,10 +34,10 @@
  public:
   /// `buffered_bytes()` at which a sender should pause. Bounds the memory that one slow caller can
   /// hold, together with one chunk.
-  static constexpr size_t kHighWaterBytes = 256 * 1024;
+  static constexpr size_t kHighWaterBytes = 256 << 10;
   /// `buffered_bytes()` below which `SetOnWritable` calls back. Above zero, so that the connection
   /// does not run dry while the sender resumes.
-  static constexpr size_t kLowWaterBytes = 64 * 1024;
+  static constexpr size_t kLowWaterBytes = 64 << 10;
 
   virtual ~CallReply() = default;
 
--- a/src/libcaller/caller_server.cc
+++ b/src/libcaller/caller_server.cc
@@ -3,7 +3,8 @@
 #include <arpa/inet.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
-#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -96,7 +97,7 @@
 }
 
 std::string ReadTarget(evhttp_request* req) {
-  const std::string uri = evhttp_request_get_uri(req);
+  std::string uri = evhttp_request_get_uri(req);
   if (!uri.empty() && uri[0] == '/') return uri;
   const evhttp_uri* parts = evhttp_request_get_evhttp_uri(req);
   if (parts == nullptr || evhttp_uri_get_host(parts) == nullptr) return {};
@@ -121,6 +122,13 @@
   return pending > 0 || evbuffer_get_length(bufferevent_get_input(bufev)) > 0;
 }
 
+// Else the end of an answer can wait 40 ms for the caller's delayed acknowledgement.
+void SendWithoutDelay(evhttp_connection* connection) {
+  const int on = 1;
+  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
 uint16_t BoundPort(evhttp_bound_socket* socket) {
   sockaddr_in name{};
   socklen_t size = sizeof(name);
@@ -189,7 +197,10 @@
   request.body = ReadBody(req);
 
   evhttp_connection* connection = evhttp_request_get_connection(req);
-  evhttp_connection_set_closecb(connection, &CallerServer::OnConnectionClosed, this);
+  if (connections_.count(connection) == 0) {
+    evhttp_connection_set_closecb(connection, &CallerServer::OnConnectionClosed, this);
+    SendWithoutDelay(connection);
+  }
   auto exchange = std::make_unique<Exchange>(this, req);
   Exchange* raw = exchange.get();
   exchanges_.emplace(raw, std::move(exchange));
--- a/src/libcaller/caller_server.h
+++ b/src/libcaller/caller_server.h
@@ -26,11 +26,11 @@
  public:
   /// Request bodies are held in memory as a whole, and the platform's values have the same limit.
   static constexpr int64_t kMaxBodyBytes = 1 << 20;
-  static constexpr size_t kMaxHeadBytes = 32 * 1024;
+  static constexpr size_t kMaxHeadBytes = 32 << 10;
   /// evhttp itself stops reading here.
-  static constexpr size_t kHardHeadBytes = 64 * 1024;
+  static constexpr size_t kHardHeadBytes = 64 << 10;
   /// Requests sent ahead on one connection wait in the kernel beyond this.
-  static constexpr size_t kMaxReadAheadBytes = 16 * 1024;
+  static constexpr size_t kMaxReadAheadBytes = 16 << 10;
   /// A connection without a request, or with a request that stalls half-read, is closed after this.
   static constexpr std::chrono::seconds kIdleTimeout{60};
   /// A caller that takes no byte of a waiting answer for this long is abandoned.
--- a/src/libupstream/announcement_server.h
+++ b/src/libupstream/announcement_server.h
@@ -27,8 +27,8 @@
 /// Thread safety: none; use on the thread of the event loop.
 class AnnouncementServer {
  public:
-  static constexpr int64_t kMaxBodyBytes = 64 * 1024;
-  static constexpr int64_t kMaxHeadBytes = 16 * 1024;
+  static constexpr int64_t kMaxBodyBytes = 64 << 10;
+  static constexpr int64_t kMaxHeadBytes = 16 << 10;
   /// Delay at which a lapse is noticed.
   static constexpr std::chrono::milliseconds kExpireInterval{250};
 
--- a/src/libupstream/answer_parser.h
+++ b/src/libupstream/answer_parser.h
@@ -31,9 +31,9 @@
     kBroken,
   };
 
-  static constexpr size_t kMaxHeadBytes = 64 * 1024;
+  static constexpr size_t kMaxHeadBytes = 64 << 10;
   /// Longest part of a body passed on at once.
-  static constexpr size_t kMaxDataBytes = 64 * 1024;
+  static constexpr size_t kMaxDataBytes = 64 << 10;
   /// Size line of a chunk with its extensions.
   static constexpr size_t kMaxChunkLineBytes = 1024;
 
--- a/src/libupstream/upstream_client.cc
+++ b/src/libupstream/upstream_client.cc
@@ -177,7 +177,8 @@
   HttpRequest request;
   request.method = "POST";
   request.target = "/cancel?id=" + call_id.ToString();
-  cancellations_.Send(upstream_, std::move(request), kCancellationTimeout, [](HttpResponse) {});
+  cancellations_.Send(upstream_, std::move(request), kCancellationTimeout,
+                      [](const HttpResponse&) {});
 }
 
 }  // namespace camphorhoist
--- a/src/libupstream/upstream_client.h
+++ b/src/libupstream/upstream_client.h
@@ -89,7 +89,7 @@
   /// Longest time without a byte of a started answer, while it is not paused.
   static constexpr std::chrono::milliseconds kStallTimeout{10000};
   /// Bytes of an answer held per connection while it is paused.
-  static constexpr size_t kReadBufferBytes = 64 * 1024;
+  static constexpr size_t kReadBufferBytes = 64 << 10;
 
   /// `max_connections` bounds all open connections to the upstream. Precondition: `base` outlives
   /// the client.
--- a/src/libupstream/upstream_exchange.cc
+++ b/src/libupstream/upstream_exchange.cc
@@ -206,10 +206,9 @@
   owner->SendCancellation(call_id);
 }
 
-void UpstreamClient::Exchange::End(UpstreamResult result, const std::string& detail) {
+void UpstreamClient::Exchange::End(UpstreamResult result, std::string detail) {
   UpstreamClient* owner = owner_;
   ResponseSink* sink = sink_;
-  const std::string reason = detail;  // `detail` may live in this object
   const bool reusable =
       bufev_ != nullptr && parser_.keep_alive() &&
       (result == UpstreamResult::kWhole ||
@@ -219,7 +218,7 @@
   owner->Remove(handle_);
   if (reusable) owner->KeepIdle(std::move(connection));
   connection.reset();
-  sink->OnEnd(result, reason);
+  sink->OnEnd(result, detail);
 }
 
 }  // namespace camphorhoist
--- a/src/libupstream/upstream_exchange.h
+++ b/src/libupstream/upstream_exchange.h
@@ -41,7 +41,7 @@
   void PassHead();
   void Lose(const std::string& detail);
   void OnDeadline();
-  void End(UpstreamResult result, const std::string& detail);
+  void End(UpstreamResult result, std::string detail);
 
   UpstreamClient* owner_;
   Handle handle_;
--- a/src/standin_upstream/announcer.cc
+++ b/src/standin_upstream/announcer.cc
@@ -71,7 +71,7 @@
   client_.Send(nodes_[node], Post("/load", body.dump()), kTimeout, [](const HttpResponse&) {});
 }
 
-void Announcer::Leave(std::function<void()> done) {
+void Announcer::Leave(const std::function<void()>& done) {
   timer_.Stop();
   suspended_ = true;
   leaves_pending_ = nodes_.size();
--- a/src/standin_upstream/announcer.h
+++ b/src/standin_upstream/announcer.h
@@ -29,7 +29,7 @@
   /// Announces at once; `done` runs when a node has answered or all have failed.
   void AnnounceNow(std::function<void()> done);
   /// Says to all nodes that the upstream leaves and stops announcing.
-  void Leave(std::function<void()> done);
+  void Leave(const std::function<void()>& done);
   /// Stops or restarts the announcements without saying so.
   void SetSuspended(bool suspended) { suspended_ = suspended; }
 
--- a/src/standin_upstream/body_stream.cc
+++ b/src/standin_upstream/body_stream.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int64_t kPartBytes = 64 * 1024;
+constexpr int64_t kPartBytes = 64 << 10;
 // Time between checks whether the socket has taken the bytes that precede a break.
 constexpr std::chrono::milliseconds kFlushPoll{1};
 
--- a/src/standin_upstream/ledger.cc
+++ b/src/standin_upstream/ledger.cc
@@ -6,24 +6,21 @@
 
 namespace camphorhoist {
 
-namespace {
-
 using nlohmann::json;
 
-json ToJson(const LedgerRun& run) {
-  return {{"sequence", run.sequence}, {"call_id", run.call_id}, {"method", run.method},
-          {"target", run.target},     {"key", run.key},         {"start_ms", run.start_ms},
-          {"end_ms", run.end_ms},     {"state", run.state}};
+json Ledger::ToJson(const LedgerRun& run) const {
+  return {{"instance", instance_},    {"sequence", run.sequence}, {"call_id", run.call_id},
+          {"method", run.method},     {"target", run.target},     {"key", run.key},
+          {"start_ms", run.start_ms}, {"end_ms", run.end_ms},     {"state", run.state}};
 }
 
-}  // namespace
-
 int64_t WallClockMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-Ledger::Ledger(const std::string& file) : has_file_(!file.empty()) {
+Ledger::Ledger(const std::string& file, std::string instance)
+    : has_file_(!file.empty()), instance_(std::move(instance)) {
   if (has_file_) file_.open(file, std::ios::app);
 }
 
--- a/src/standin_upstream/ledger.h
+++ b/src/standin_upstream/ledger.h
@@ -33,7 +33,7 @@
 class Ledger {
  public:
   /// Appends to `file`; an empty name keeps the ledger in memory only.
-  explicit Ledger(const std::string& file);
+  Ledger(const std::string& file, std::string instance);
 
   /// False if the file could not be opened.
   bool ok() const { return !has_file_ || file_.good(); }
@@ -51,7 +51,10 @@
  private:
   void WriteLine(const LedgerRun& run);
 
+  nlohmann::json ToJson(const LedgerRun& run) const;
+
   bool has_file_;
+  std::string instance_;
   std::ofstream file_;
   std::vector<LedgerRun> runs_;
 };
--- a/src/standin_upstream/main.cc
+++ b/src/standin_upstream/main.cc
@@ -13,6 +13,7 @@
 #include "libbase/event_ptr.h"
 #include "libbase/log.h"
 #include "libcaller/caller_server.h"
+#include "libcaller/precise_event_base.h"
 #include "standin_upstream/announcer.h"
 #include "standin_upstream/service.h"
 #include "standin_upstream/settings.h"
@@ -29,7 +30,7 @@
   explicit Program(const StandinSettings& settings)
       : settings_(settings),
         instance_(std::to_string(WallClockMs()) + "-" + std::to_string(getpid())),
-        base_(event_base_new()),
+        base_(NewPreciseEventBase()),
         service_(
             base_.get(), settings, instance_, [this] { Drain(); },
             [this] { announcer_.SetSuspended(!service_.control().announce); }),
--- a/src/standin_upstream/service.cc
+++ b/src/standin_upstream/service.cc
@@ -56,7 +56,7 @@
       on_drain_(std::move(on_drain)),
       on_control_(std::move(on_control)),
       started_(steady_clock::now()),
-      ledger_(settings.ledger_file),
+      ledger_(settings.ledger_file, instance_),
       random_(settings.seed) {}
 
 StandinService::~StandinService() = default;
--- a/src/standin_upstream/settings.cc
+++ b/src/standin_upstream/settings.cc
@@ -66,8 +66,8 @@
   }
   std::istringstream nodes(raw.node == nullptr ? "" : raw.node);
   for (std::string it; std::getline(nodes, it, ',');) {
-    if (const auto address = ReadAddress(it, "--node", findings))
-      settings.nodes.push_back(*address);
+    const auto address = ReadAddress(it, "--node", findings);
+    if (address) settings.nodes.push_back(*address);
   }
   ReadText(raw.service, &settings.service);
   ReadText(raw.ledger, &settings.ledger_file);
