--- a/src/camphorhoist_load/report.cc
+++ b/src/camphorhoist_load/report.cc
@@ -113,9 +113,7 @@
     for (const GroupSummary& it : report.steps) WriteGroup(it, out);
   }
   for (const auto& it : report.total.outcomes) {
-    out << "outcome " << it.first << ": " << it.second
-        << "
-           ";
+    out << "outcome " << it.first << ": " << it.second << "\n";
   }
   for (const std::string& it : report.faults) out << "wrong answer " << it << "\n";
 }
