Add trace checkers and the fault matrix of the acceptance protocol

Cause: the acceptance must never give an operator a wrong answer under any fault at any step.

The matrix runs every single fault and every pair of faults at every step, and 3,000 seeded sessions with up to seven faults, against an in-memory store. Each session is followed by a resubmission of the same change set, and the trace checkers cover versions, whole configurations, accepted changes and route targets.

--- /dev/null
+++ b/src/libconfig/fault_matrix_test.cc
@@ -0,0 +1,360 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "camphorhoist/acceptance.h"
+#include "camphorhoist/replica.h"
+#include "libconfig/config_fixture.h"
+#include "libconfig/config_proofs.h"
+#include "libconfig/fake_store.h"
+
+namespace camphorhoist {
+namespace {
+
+enum class FaultKind {
+  kFailed,       // no effect, and the driver knows it
+  kLost,         // effect, the response is lost
+  kCancelled,    // no result and no effect
+  kLate,         // no result, the effect comes two steps later
+  kVeryLate,     // no result, the effect comes after the session
+  kOtherWriter,  // another operator changes another record before the step
+  kSameWriter,   // another operator changes the same record before the step
+  kTwin,         // another node completes the same change set before the step
+  kOutage,       // nothing reaches the platform from here on
+  kLostOutage,   // as kLost, then as kOutage
+  kDeadline,     // the driver ends the acceptance, the effect comes later
+};
+
+constexpr int kKindCount = 11;
+const char* const kKindNames[] = {"failed",    "lost",        "cancelled", "late",
+                                  "very late", "other",       "same",      "twin",
+                                  "outage",    "lost+outage", "deadline"};
+
+struct Fault {
+  int step = 0;
+  FaultKind kind = FaultKind::kFailed;
+};
+
+std::string Describe(const std::vector<Fault>& faults) {
+  std::string text;
+  for (const Fault& it : faults) {
+    text +=
+        std::string(kKindNames[static_cast<size_t>(it.kind)]) + "@" + std::to_string(it.step) + " ";
+  }
+  return text;
+}
+
+bool Has(const std::vector<Fault>& faults, FaultKind kind) {
+  return std::any_of(faults.begin(), faults.end(),
+                     [kind](const Fault& it) { return it.kind == kind; });
+}
+
+Record Service(const std::string& name, int timeout_ms) {
+  return ParseRecord(R"({"schema":1,"kind":"service","name":")" + name + R"(","timeout_ms":)" +
+                     std::to_string(timeout_ms) + "}");
+}
+
+/// One acceptance against a store with faults, followed by a resubmission without faults.
+class FaultSession {
+ public:
+  FaultSession(std::vector<Fault> faults, bool has_head, bool knows_head)
+      : faults_(std::move(faults)) {
+    store_.SetOnApplied([this](const std::string& key) { OnApplied(key); });
+    const ChangeSet first = {
+        "first", {Change::Upsert(Service("a", 1), 0), Change::Upsert(Service("b", 1), 0)}};
+    if (has_head) Submit(first);
+    const Snapshot::Ptr base = knows_head ? Load() : Snapshot::Empty();
+    change_set_ = {"subject",
+                   {Change::Upsert(Service("a", 2), has_head ? 1 : 0),
+                    Change::Upsert(ParseRecord(R"({"schema":1,"kind":"route","name":"r",
+                        "match":{"path_prefix":"/"},"service":"a"})"),
+                                   0)}};
+    Acceptance acceptance(change_set_, base, kMaxSchema);
+    outcome_ = Run(&acceptance);
+    for (const WriteObject& it : very_late_) store_.Write(it);
+    Judge();
+  }
+
+  const AcceptOutcome& outcome() const { return outcome_; }
+  int steps() const { return step_; }
+  /// Violations of the guarantees, one per line.
+  std::string violations() const { return violations_.ToString(); }
+
+ private:
+  struct LateWrite {
+    int due_step;
+    WriteObject write;
+  };
+
+  AcceptOutcome Run(Acceptance* acceptance) {
+    AcceptEffect effect = acceptance->Start();
+    for (; !std::holds_alternative<AcceptOutcome>(effect); ++step_) {
+      LandLateWrites();
+      RunWriters();
+      if (std::optional<FaultKind> fault = OperationFault()) {
+        if (*fault == FaultKind::kDeadline) {
+          if (const auto* write = std::get_if<WriteObject>(&effect)) very_late_.push_back(*write);
+          return acceptance->OnDeadline();
+        }
+        effect = RunFaulty(acceptance, effect, *fault);
+      } else if (const auto* read = std::get_if<ReadObject>(&effect)) {
+        effect = acceptance->OnRead(store_.Read(read->key));
+      } else {
+        effect = acceptance->OnWrite(store_.Write(std::get<WriteObject>(effect)));
+      }
+    }
+    return std::get<AcceptOutcome>(effect);
+  }
+
+  void LandLateWrites() {
+    for (const LateWrite& it : late_) {
+      if (it.due_step == step_) store_.Write(it.write);
+    }
+  }
+
+  void RunWriters() {
+    for (const Fault& it : faults_) {
+      if (it.step != step_) continue;
+      const std::string id =
+          std::string(kKindNames[static_cast<size_t>(it.kind)]) + std::to_string(step_);
+      if (it.kind == FaultKind::kOtherWriter) {
+        Submit({id, {Change::UnconditionalUpsert(Service("b", 10 + step_))}});
+      } else if (it.kind == FaultKind::kSameWriter) {
+        Submit({id, {Change::UnconditionalUpsert(Service("a", 10 + step_))}});
+      } else if (it.kind == FaultKind::kTwin) {
+        Submit(change_set_);
+      }
+    }
+  }
+
+  std::optional<FaultKind> OperationFault() const {
+    std::optional<FaultKind> fault;
+    for (const Fault& it : faults_) {
+      const bool outage = it.kind == FaultKind::kOutage || it.kind == FaultKind::kLostOutage;
+      if (outage && it.step < step_) return FaultKind::kOutage;
+      if (it.step != step_ || IsWriter(it.kind)) continue;
+      fault = it.kind;
+    }
+    return fault;
+  }
+
+  static bool IsWriter(FaultKind kind) {
+    return kind == FaultKind::kOtherWriter || kind == FaultKind::kSameWriter ||
+           kind == FaultKind::kTwin;
+  }
+
+  AcceptEffect RunFaulty(Acceptance* acceptance, const AcceptEffect& effect, FaultKind fault) {
+    const auto* write = std::get_if<WriteObject>(&effect);
+    if (write == nullptr) {
+      if (fault == FaultKind::kFailed) return acceptance->OnRead(OperationFailed{"refused"});
+      return acceptance->OnTimeout();
+    }
+    switch (fault) {
+      case FaultKind::kFailed:
+        return acceptance->OnWrite(OperationFailed{"refused"});
+      case FaultKind::kLost:
+      case FaultKind::kLostOutage:
+        store_.Write(*write);
+        return acceptance->OnWrite(WriteUnknown{"connection lost"});
+      case FaultKind::kLate:
+        late_.push_back({step_ + 2, *write});
+        break;
+      case FaultKind::kVeryLate:
+        very_late_.push_back(*write);
+        break;
+      default:
+        break;
+    }
+    return acceptance->OnTimeout();
+  }
+
+  /// Another node with no faults of its own.
+  AcceptOutcome Submit(const ChangeSet& change_set) {
+    Acceptance acceptance(change_set, Snapshot::Empty(), kMaxSchema);
+    AcceptOutcome outcome = Commit(&store_, &acceptance);
+    if (outcome.status == AcceptStatus::kAccepted) {
+      trace_.AddAccepted(change_set, outcome.version);
+    }
+    return outcome;
+  }
+
+  void OnApplied(const std::string& key) {
+    if (key != kHeadObjectKey) return;
+    const Snapshot::Ptr snapshot = Load();
+    if (snapshot == nullptr) return;
+    trace_.AddInForce("platform", snapshot);
+    replica_.Offer(snapshot);
+    trace_.AddInForce("replica", replica_.current());
+    const ReadResult head = store_.Read(kHeadObjectKey);
+    trace_.AddHead(*DecodeHead(std::get<ObjectFound>(head).body, kHeadObjectKey, &violations_));
+  }
+
+  Snapshot::Ptr Load() { return store_.Load(&violations_); }
+
+  bool InForce() const {
+    for (const ConfigHead& it : trace_.heads()) {
+      if (it.AcceptedNumber(change_set_.id)) return true;
+    }
+    return false;
+  }
+
+  void Judge() {
+    const bool in_force = InForce();
+    const bool twin = Has(faults_, FaultKind::kTwin);
+    switch (outcome_.status) {
+      case AcceptStatus::kAccepted:
+        if (!in_force) violations_.Add("outcome", "accepted, but not in force");
+        trace_.AddAccepted(change_set_, outcome_.version);
+        break;
+      case AcceptStatus::kConflict:
+      case AcceptStatus::kRejected:
+        if (in_force) violations_.Add("outcome", "refused, but in force");
+        break;
+      case AcceptStatus::kUnknown:
+        if (in_force && !outcome_.may_take_effect && !twin) {
+          violations_.Add("outcome", "cannot take effect, but is in force");
+        }
+        break;
+    }
+    const AcceptOutcome again = Submit(change_set_);
+    if (again.status == AcceptStatus::kUnknown) {
+      violations_.Add("resubmission", "unknown without a fault");
+    }
+    if (in_force && again.status != AcceptStatus::kAccepted) {
+      violations_.Add("resubmission", "refused, but in force");
+    }
+    CheckTrace(trace_, &violations_);
+  }
+
+  std::vector<Fault> faults_;
+  ChangeSet change_set_;
+  FakeStore store_;
+  Replica replica_;
+  ConfigTrace trace_;
+  Findings violations_;
+  AcceptOutcome outcome_;
+  std::vector<LateWrite> late_;
+  std::vector<WriteObject> very_late_;
+  int step_ = 0;
+};
+
+struct Setting {
+  bool has_head;
+  bool knows_head;
+};
+const Setting kSettings[] = {{false, false}, {true, false}, {true, true}};
+
+class FaultMatrixTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FaultMatrixTest);
+  CPPUNIT_TEST(EverySingleFault);
+  CPPUNIT_TEST(EveryPairOfFaults);
+  CPPUNIT_TEST(SeededManyFaults);
+  CPPUNIT_TEST(CheckersReportViolations);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a wrong answer to the operator for any one fault at any step, and against an
+  // acceptance that gives up where it could go on.
+  void EverySingleFault() {
+    for (const Setting& setting : kSettings) {
+      const int steps = FaultSession({}, setting.has_head, setting.knows_head).steps();
+      for (int step = 0; step < steps; ++step) {
+        for (int kind = 0; kind < kKindCount; ++kind) {
+          Check({{step, static_cast<FaultKind>(kind)}}, setting, steps);
+        }
+      }
+    }
+  }
+
+  // Guards against faults that are only handled one at a time, such as a lost response followed by
+  // a concurrent writer.
+  void EveryPairOfFaults() {
+    for (const Setting& setting : kSettings) {
+      const int steps = FaultSession({}, setting.has_head, setting.knows_head).steps();
+      for (int first = 0; first < steps; ++first) {
+        // A retry adds steps after the last one, which the second fault can hit.
+        for (int second = first; second < steps + 4; ++second) {
+          for (int n = 0; n < kKindCount * kKindCount; ++n) {
+            Check({{first, static_cast<FaultKind>(n / kKindCount)},
+                   {second, static_cast<FaultKind>(n % kKindCount)}},
+                  setting, steps);
+          }
+        }
+      }
+    }
+  }
+
+  // Guards against long sequences of faults that pairs do not reach.
+  void SeededManyFaults() {
+    constexpr uint64_t kSeed = 20261204;
+    constexpr int kSessions = 3000;
+    std::mt19937_64 rng(kSeed);
+    for (int n = 0; n < kSessions; ++n) {
+      std::vector<Fault> faults;
+      for (uint64_t i = rng() % 8; i > 0; --i) {
+        faults.push_back(
+            {static_cast<int>(rng() % 24), static_cast<FaultKind>(rng() % kKindCount)});
+      }
+      const Setting& setting = kSettings[rng() % 3];
+      const FaultSession session(faults, setting.has_head, setting.knows_head);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Describe(faults), std::string(), session.violations());
+    }
+  }
+
+  // Guards against checkers that accept every trace.
+  void CheckersReportViolations() {
+    const std::string service = R"([{"schema":1,"kind":"service","name":"a"}])";
+    const Snapshot::Ptr first = BuildSnapshot(1, service);
+    const Snapshot::Ptr second = BuildSnapshot(2, service);
+    ConfigTrace lower;
+    lower.AddInForce("n", second);
+    lower.AddInForce("n", first);
+    ConfigTrace partial;
+    partial.AddInForce("n", first);
+    partial.AddInForce("m", BuildSnapshot(1, "[]"));
+    ConfigTrace head;
+    head.AddHead(MakeHead(*first, {}, "c"));
+    head.AddInForce("m", BuildSnapshot(1, "[]"));
+    ConfigTrace reverted;
+    reverted.AddAccepted({"c", {Change::Upsert(Service("a", 1), 1)}}, {1, 2});
+    reverted.AddInForce("n", BuildSnapshot(3, "[]"));
+    ConfigTrace twice;
+    twice.AddHead(MakeHead(*first, {}, "c"));
+    twice.AddHead(MakeHead(*second, {{"c", 1}}, "c"));
+    for (const ConfigTrace* it : {&lower, &partial, &head, &reverted, &twice}) {
+      Findings findings;
+      CheckTrace(*it, &findings);
+      CPPUNIT_ASSERT(!findings.empty());
+    }
+  }
+
+ private:
+  static bool MayEndOtherwise(FaultKind kind) {
+    return kind == FaultKind::kSameWriter || kind == FaultKind::kOutage ||
+           kind == FaultKind::kLostOutage || kind == FaultKind::kDeadline;
+  }
+
+  static void Check(const std::vector<Fault>& faults, const Setting& setting, int steps) {
+    const FaultSession session(faults, setting.has_head, setting.knows_head);
+    const std::string text = Describe(faults);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(), session.violations());
+    const bool must_accept = std::none_of(faults.begin(), faults.end(),
+                                          [](const Fault& it) { return MayEndOtherwise(it.kind); });
+    const std::string status = ToString(session.outcome().status);
+    if (must_accept) CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string("accepted"), status);
+    if (faults.size() > 1 || must_accept) return;
+    const bool same = faults[0].kind == FaultKind::kSameWriter;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(same ? "conflict" : "unknown"), status);
+    const bool lost_head = faults[0].step == steps - 1 && !same;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(text, lost_head, session.outcome().may_take_effect);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FaultMatrixTest);
+
+}  // namespace
+}  // namespace camphorhoist
