--- a/src/libmember/exchange.cc
+++ b/src/libmember/exchange.cc
@@ -23,6 +23,10 @@
 constexpr std::chrono::seconds kReconnectInterval{5};
 constexpr size_t kUrgentFanout = 4;
 constexpr size_t kUrgentRemote = 2;
+constexpr size_t kUrgentMessages = 4;
+// A single push leaves about one member in a thousand out when a fifth of the messages is lost.
+constexpr int kUrgentPushes = 3;
+constexpr std::chrono::milliseconds kUrgentInterval{300};
 constexpr size_t kExchangeMembers = 2;
 constexpr size_t kExchangeMessages = 8;
 // Each change goes out in three successive exchanges; digests repair the rest.
@@ -156,19 +160,40 @@
 
 void Membership::Impl::PushUrgent(MemberTime now, std::mt19937_64& rng, const MemberId& about,
                                   MemberEffects* out) {
-  const auto update = table_.UpdateOf(about);
-  if (!update) return;
-  const MemberRecord* record = table_.Find(about);
-  std::vector<MemberId> targets = PickMembers(rng, self_.data_centre, kUrgentFanout);
-  const bool own_entry = about == self_.address;
-  const bool exported = record != nullptr && record->entry.data_centre == self_.data_centre;
-  if (own_entry || (exported && IsBridge())) {
-    for (const auto& [name, dc] : table_.data_centres()) {
-      if (name == self_.data_centre) continue;
-      for (const MemberId& it : PickMembers(rng, name, kUrgentRemote)) targets.push_back(it);
+  urgent_[about] = kUrgentPushes;
+  SendUrgent(now, rng, out);
+}
+
+void Membership::Impl::RunUrgent(MemberTime now, std::mt19937_64& rng, MemberEffects* out) {
+  if (!urgent_.empty() && now >= next_urgent_) SendUrgent(now, rng, out);
+}
+
+// Sends all urgent updates together, so that many of them at a time do not multiply the messages.
+void Membership::Impl::SendUrgent(MemberTime now, std::mt19937_64& rng, MemberEffects* out) {
+  next_urgent_ = now + kUrgentInterval;
+  std::vector<MemberUpdate> updates;
+  std::vector<MemberUpdate> exports;
+  const bool bridge = IsBridge();
+  for (auto it = urgent_.begin(); it != urgent_.end();) {
+    const auto update = table_.UpdateOf(it->first);
+    const MemberRecord* record = table_.Find(it->first);
+    if (update && record != nullptr) {
+      updates.push_back(*update);
+      const bool own_data_centre = record->entry.data_centre == self_.data_centre;
+      if (it->first == self_.address || (bridge && own_data_centre)) exports.push_back(*update);
+    }
+    it = --it->second <= 0 ? urgent_.erase(it) : std::next(it);
+  }
+  for (const MemberId& to : PickMembers(rng, self_.data_centre, kUrgentFanout)) {
+    SendUpdates(now, to, updates, kUrgentMessages, out);
+  }
+  if (exports.empty()) return;
+  for (const auto& [name, dc] : table_.data_centres()) {
+    if (name == self_.data_centre) continue;
+    for (const MemberId& to : PickMembers(rng, name, kUrgentRemote)) {
+      SendUpdates(now, to, exports, kUrgentMessages, out);
     }
   }
-  for (const MemberId& it : targets) SendUpdates(now, it, {*update}, 1, out);
 }
 
 bool Membership::Impl::IsBridge() const {
--- a/src/libmember/membership.cc
+++ b/src/libmember/membership.cc
@@ -13,6 +13,7 @@
 constexpr std::chrono::seconds kSecond{1};
 // A departure is repeated, because the member answers no repair afterwards.
 constexpr int kLeavePushes = 8;
+constexpr int kUrgentRelays = 3;
 constexpr std::chrono::milliseconds kLeavePushInterval{250};
 
 std::string Printable(const std::string& text) {
@@ -70,6 +71,7 @@
     return out;
   }
   CheckIsolation(now);
+  RunUrgent(now, rng, &out);
   RunJoin(now, rng, &out);
   RunProbes(now, rng, &out);
   RunSuspicions(now, &out);
@@ -189,7 +191,10 @@
   if (!result.news || !gossip) return;
   gossip_.Add(id, result.urgent);
   if (table_.Find(id)->entry.data_centre == self_.data_centre) exports_.Add(id, result.urgent);
-  if (result.urgent) PushUrgent(now, rng, id, out);
+  if (!result.urgent) return;
+  // Passed on by the next tick, together with others that arrive until then.
+  urgent_[id] = kUrgentRelays;
+  next_urgent_ = now;
 }
 
 void Membership::Impl::LearnAboutSelf(MemberTime now, std::mt19937_64& rng,
--- a/src/libmember/membership_impl.h
+++ b/src/libmember/membership_impl.h
@@ -72,7 +72,10 @@
                    size_t max_messages, MemberEffects* out);
   std::vector<MemberId> PickMembers(std::mt19937_64& rng, const std::string& data_centre,
                                     size_t count) const;
+  /// Pushes the update at once, and again a few times later.
   void PushUrgent(MemberTime now, std::mt19937_64& rng, const MemberId& about, MemberEffects* out);
+  void RunUrgent(MemberTime now, std::mt19937_64& rng, MemberEffects* out);
+  void SendUrgent(MemberTime now, std::mt19937_64& rng, MemberEffects* out);
   bool IsBridge() const;
   int GossipLimit() const;
 
@@ -116,6 +119,9 @@
   GossipQueue exports_;
   /// Data centres whose version set changed lately, with the number of messages it still goes into.
   std::map<std::string, int> hot_versions_;
+  /// Updates to push, with the number of pushes left.
+  std::map<MemberId, int> urgent_;
+  MemberTime next_urgent_;
   std::optional<MemberTime> head_confirmed_;
 
   bool started_ = false;
