--- a/src/libcaller/caller_server.cc
+++ b/src/libcaller/caller_server.cc
@@ -71,6 +71,10 @@
   if (HeadBytes(req, headers) > CallerServer::kMaxHeadBytes) {
     return Refusal{431, "the request line and headers exceed 32768 bytes"};
   }
+  for (const auto& it : headers) {
+    // evhttp takes "Transfer-Encoding :" for an unknown header and the body for another request.
+    if (!IsValidHeader(it.first, it.second)) return Refusal{400, "a header is malformed"};
+  }
   const ContentLength length = ReadContentLength(headers);
   if (!length.valid) return Refusal{400, "Content-Length is not one decimal number"};
   const std::optional<std::string> encoding = FindHeader(headers, "Transfer-Encoding");
--- a/src/libcaller/caller_server.h
+++ b/src/libcaller/caller_server.h
@@ -19,7 +19,8 @@
 ///
 /// Broken requests are answered here and never reach the handler: 400 for a malformed message, 413
 /// for a body above `kMaxBodyBytes`, 431 for a head above `kMaxHeadBytes` (a head above
-/// `kHardHeadBytes` gets 400 from evhttp), 501 for a method that is not supported.
+/// `kHardHeadBytes` gets 400 from evhttp), 501 for a method that is not supported. evhttp answers a
+/// malformed chunk, or one with extensions, with 413.
 ///
 /// Thread safety: none; use on the thread of the event loop.
 class CallerServer {
--- a/src/libcaller/exchange.cc
+++ b/src/libcaller/exchange.cc
@@ -11,11 +11,13 @@
 
 namespace {
 
-// Makes the close visible as a reset: the end of a body without length or chunks is the close
-// itself, so that an ordinary close would look like a whole answer.
-void ResetOnClose(bufferevent* bufev) {
-  const linger option{1, 0};
-  setsockopt(bufferevent_getfd(bufev), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+// Ends the connection with a reset. The end of a body without length or chunks is the close itself,
+// so that an ordinary close would look like a whole answer. SO_LINGER does not do it, since evhttp
+// shuts the socket down before it closes it.
+void ResetConnection(bufferevent* bufev) {
+  sockaddr none{};
+  none.sa_family = AF_UNSPEC;
+  connect(bufferevent_getfd(bufev), &none, sizeof(none));
 }
 
 }  // namespace
@@ -118,7 +120,7 @@
   finished_ = true;
   broken_ = true;
   ReleaseReply();
-  if (close_delimited_) ResetOnClose(bufev_);
+  if (close_delimited_) ResetConnection(bufev_);
   bufferevent_disable(bufev_, EV_READ | EV_WRITE);
   server_->CloseLater(connection_);
 }
