--- a/include/camphorhoist/operator_api.h
+++ b/include/camphorhoist/operator_api.h
@@ -19,6 +19,9 @@
 /// Largest id of a change set, in bytes.
 constexpr size_t kMaxChangeIdBytes = 128;
 
+/// True for 1 to `kMaxChangeIdBytes` characters of `[A-Za-z0-9._:-]`.
+bool IsValidOperatorChangeId(const std::string& id);
+
 enum class ChangeOutcome {
   /// In the configuration with `ChangeResult::version`.
   kAccepted,
--- a/src/camphorhoist/apply_command.cc
+++ b/src/camphorhoist/apply_command.cc
@@ -45,7 +45,7 @@
   unknown.id = request.id;
   bool maybe_applied = false;
   while (true) {
-    const ChangeResult result = ApplyOnce(session, request, std::min(Until(deadline), kMaxAttempt));
+    ChangeResult result = ApplyOnce(session, request, std::min(Until(deadline), kMaxAttempt));
     const bool undecided = !result.error && result.outcome == ChangeOutcome::kUnknown;
     const bool unavailable = result.error == Errc::kUnavailable;
     maybe_applied = maybe_applied || undecided;
--- a/src/camphorhoist/cli_args.cc
+++ b/src/camphorhoist/cli_args.cc
@@ -10,6 +10,7 @@
 #include <optional>
 #include <sstream>
 
+#include "camphorhoist/operator_api.h"
 #include "libplatform/object_key.h"
 
 namespace camphorhoist {
@@ -195,11 +196,8 @@
   void TakeId(const std::string& value, const char* place) {
     if (std::string(place) == "--id") NoteChangeOption(place);
     result_.id = value;
-    const bool valid = !value.empty() && value.size() <= kMaxNameBytes &&
-                       std::all_of(value.begin(), value.end(),
-                                   [](char c) { return c > ' ' && c <= '~' && c != '/'; });
-    if (valid) return;
-    findings_->Add(place, "must be 1-128 printable characters without blanks and slashes");
+    if (IsValidOperatorChangeId(value)) return;
+    findings_->Add(place, "must be 1-128 characters of [A-Za-z0-9._:-]");
   }
 
   uint64_t TakeNumber(const char* place, const std::string& value, uint64_t max) {
@@ -305,7 +303,7 @@
   if (out == nullptr) return kHelpTail;
   poptPrintHelp(context.get(), out, 0);
   std::fclose(out);
-  const std::string help = std::string(text, size) + kHelpTail;
+  std::string help = std::string(text, size) + kHelpTail;
   std::free(text);  // NOLINT(cppcoreguidelines-no-malloc): allocated by open_memstream
   return help;
 }
--- a/src/liboperator/operator_json.cc
+++ b/src/liboperator/operator_json.cc
@@ -11,6 +11,8 @@
 
 using Json = nlohmann::json;
 
+const char kIdCharacters[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._:-";
+
 struct OutcomeName {
   const char* name;
   ChangeOutcome outcome;
@@ -146,6 +148,11 @@
 
 }  // namespace
 
+bool IsValidOperatorChangeId(const std::string& id) {
+  if (id.empty() || id.size() > kMaxChangeIdBytes) return false;
+  return id.find_first_not_of(kIdCharacters) == std::string::npos;
+}
+
 const char* ChangeOutcomeName(ChangeOutcome outcome) {
   for (const OutcomeName& it : kOutcomes) {
     if (it.outcome == outcome) return it.name;
--- a/src/liboperator/operator_server.cc
+++ b/src/liboperator/operator_server.cc
@@ -44,14 +44,6 @@
   return 500;
 }
 
-bool IsValidId(const std::string& id) {
-  if (id.empty() || id.size() > kMaxChangeIdBytes) return false;
-  for (char c : id) {
-    if (c <= ' ' || c > '~' || c == '/') return false;
-  }
-  return true;
-}
-
 // Reads the id of a change set; the rest of the body is for the backend.
 std::string ReadId(const std::string& body, Findings* findings) {
   const auto json = nlohmann::json::parse(body, nullptr, false);
@@ -64,10 +56,10 @@
     return "";
   }
   const auto it = json.find("id");
-  const std::string id = it != json.end() && it->is_string() ? it->get<std::string>() : "";
-  if (!IsValidId(id)) {
+  std::string id = it != json.end() && it->is_string() ? it->get<std::string>() : "";
+  if (!IsValidOperatorChangeId(id)) {
     findings->Add("body.id", "must be a string of 1-" + std::to_string(kMaxChangeIdBytes) +
-                                 " printable characters without blanks and slashes");
+                                 " characters of [A-Za-z0-9._:-]");
   }
   return id;
 }
@@ -123,7 +115,7 @@
 
 void OperatorServer::OnOutcome(RequestId id, const ServerRequest& request) {
   const std::string change_id = request.path.substr(sizeof(kChangePrefix) - 1);
-  if (!IsValidId(change_id)) {
+  if (!IsValidOperatorChangeId(change_id)) {
     Findings findings;
     findings.Add("path", "has a malformed change set id");
     return AnswerError(id, 400, "malformed id", findings);
--- a/src/standin_platform/fault_rules.cc
+++ b/src/standin_platform/fault_rules.cc
@@ -103,7 +103,7 @@
   for (auto it = rules_.begin(); it != rules_.end(); ++it) {
     if (!Matches(*it, method, key)) continue;
     ++injected_;
-    const FaultRule rule = *it;
+    FaultRule rule = *it;
     if (it->count > 0 && --it->count == 0) rules_.erase(it);
     return rule;
   }
