Bound the wait in the committer's queue and test it over the stand-in

The time limit of a change set started only when its turn came, so that 64 waiting change sets could keep an operator waiting for 640 s during an outage. It now runs from the call to Commit. A full queue answers from a later turn of the loop, and the committer reuses the pages of its own last configuration. The tests cover lost answers and dropped requests at each operation, outages before and after the head write, a late head write and racing committers.

--- a/src/libplatform/committer.cc
+++ b/src/libplatform/committer.cc
@@ -29,8 +29,9 @@
 
 }  // namespace
 
-Committer::Committer(event_base* base, ObjectStore* store)
+Committer::Committer(event_base* base, ObjectStore* store, CommitterLimits limits)
     : store_(store),
+      limits_(limits),
       limit_(base, [this] { Finish(acceptance_->OnDeadline()); }),
       delay_(base,
              [this] {
@@ -38,27 +39,55 @@
                delayed_.reset();
                Execute(effect);
              }),
-      next_(base, [this] { StartNext(); }) {}
+      next_(base, [this] { StartNext(); }),
+      refuse_(base, [this] { DeliverRefusals(); }) {}
 
 Committer::~Committer() { *alive_ = false; }
 
 void Committer::Commit(ChangeSet change_set, Snapshot::Ptr base, int fleet_schema,
                        Callback callback) {
-  if (queue_.size() >= kMaxWaiting) {
-    AcceptOutcome outcome;
-    outcome.change_set_id = change_set.id;
-    outcome.findings.Add(change_set.id, "too many change sets wait on this node; nothing was done");
-    return callback(outcome, nullptr);
+  if (queue_.size() >= limits_.max_pending) {
+    return Refuse(change_set.id, "too many change sets wait on this node; nothing was done",
+                  std::move(callback));
   }
-  queue_.push_back({std::move(change_set), std::move(base), fleet_schema, std::move(callback)});
+  const auto deadline = std::chrono::steady_clock::now() + limits_.time_limit;
+  queue_.push_back(
+      {std::move(change_set), std::move(base), fleet_schema, std::move(callback), deadline});
   if (queue_.size() == 1) next_.StartOnce(std::chrono::microseconds(0));
 }
 
+void Committer::Refuse(const std::string& id, const char* reason, Callback callback) {
+  AcceptOutcome outcome;
+  outcome.change_set_id = id;
+  outcome.findings.Add(id, reason);
+  refusals_.push_back({std::move(outcome), std::move(callback)});
+  refuse_.StartOnce(std::chrono::microseconds(0));
+}
+
+void Committer::DeliverRefusals() {
+  std::deque<Refusal> refusals;
+  refusals.swap(refusals_);
+  const std::shared_ptr<bool> alive = alive_;
+  for (const Refusal& it : refusals) {
+    if (*alive) it.callback(it.outcome, nullptr);
+  }
+}
+
 void Committer::StartNext() {
+  using std::chrono::microseconds;
   if (queue_.empty() || acceptance_) return;
-  const Job& job = queue_.front();
-  acceptance_.emplace(job.change_set, job.base, job.fleet_schema);
-  limit_.StartOnce(kTimeLimit);
+  Job& job = queue_.front();
+  const auto left =
+      std::chrono::duration_cast<microseconds>(job.deadline - std::chrono::steady_clock::now());
+  if (left <= microseconds(0)) {
+    Refuse(job.change_set.id, "waited too long on this node; nothing was done",
+           std::move(job.callback));
+    queue_.pop_front();
+    return next_.StartOnce(microseconds(0));
+  }
+  const bool use_newest = newest_ && job.base->version() < newest_->version();
+  acceptance_.emplace(job.change_set, use_newest ? newest_ : job.base, job.fleet_schema);
+  limit_.StartOnce(left);
   Carry(acceptance_->Start());
 }
 
@@ -66,7 +95,7 @@
   if (const auto* outcome = std::get_if<AcceptOutcome>(&effect)) return Finish(*outcome);
   if (AttemptOf(effect) == 0) return Execute(effect);
   delayed_ = std::move(effect);
-  delay_.StartOnce(kRetryDelay);
+  delay_.StartOnce(limits_.retry_delay);
 }
 
 void Committer::Execute(const AcceptEffect& effect) {
@@ -85,6 +114,7 @@
 
 void Committer::Finish(const AcceptOutcome& outcome) {
   const Snapshot::Ptr snapshot = acceptance_->accepted_snapshot();
+  if (snapshot) newest_ = snapshot;
   const Callback callback = std::move(queue_.front().callback);
   queue_.pop_front();
   acceptance_.reset();
--- /dev/null
+++ b/src/libplatform/committer_test.cc
@@ -0,0 +1,347 @@
+#include "libplatform/committer.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "camphorhoist/config_head.h"
+#include "camphorhoist/error.h"
+#include "libplatform/platform_fixture.h"
+
+namespace camphorhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTimeout{5000};
+constexpr int kSchema = 2;
+const char kHeadPrefix[] = "config/head";
+const char kPagePrefix[] = "config/page/";
+
+Record Service(const std::string& name, int timeout_ms) {
+  Findings findings;
+  const std::string text = R"({"schema":1,"kind":"service","name":")" + name +
+                           R"(","timeout_ms":)" + std::to_string(timeout_ms) + "}";
+  const auto record = Record::Parse(text, "record", &findings);
+  CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToString());
+  return *record;
+}
+
+ChangeSet Upsert(const std::string& id, const std::string& service, int timeout_ms = 100) {
+  return ChangeSet{id, {Change::UnconditionalUpsert(Service(service, timeout_ms))}, false};
+}
+
+/// The stand-in platform with one committer.
+struct Node {
+  explicit Node(Platform* owner, CommitterLimits limits = FastLimits(),
+                milliseconds timeout = kTimeout)
+      : platform(owner),
+        store(owner->NewStore(timeout)),
+        committer(owner->base.get(), store.get(), limits) {}
+
+  static CommitterLimits FastLimits() {
+    CommitterLimits limits;
+    limits.retry_delay = milliseconds(5);
+    return limits;
+  }
+
+  void Start(ChangeSet change_set, const Snapshot::Ptr& base = Snapshot::Empty()) {
+    committer.Commit(std::move(change_set), base, kSchema,
+                     [this](const AcceptOutcome& outcome, const Snapshot::Ptr& snapshot) {
+                       outcomes.push_back(outcome);
+                       if (snapshot) newest = snapshot;
+                     });
+  }
+  void WaitFor(size_t n) {
+    RunUntil(platform->base.get(), [this, n] { return outcomes.size() >= n; });
+  }
+  AcceptOutcome Commit(ChangeSet change_set, const Snapshot::Ptr& base = Snapshot::Empty()) {
+    const size_t n = outcomes.size() + 1;
+    Start(std::move(change_set), base);
+    WaitFor(n);
+    return outcomes.back();
+  }
+
+  Platform* platform;
+  std::unique_ptr<HttpObjectStore> store;
+  std::vector<AcceptOutcome> outcomes;
+  Snapshot::Ptr newest = Snapshot::Empty();
+  Committer committer;
+};
+
+/// The configuration that the platform holds; fails if it is not complete.
+Snapshot::Ptr LoadedFrom(Platform* platform) {
+  const StoredObject* object = platform->server.objects().Get(kHeadObjectKey);
+  CPPUNIT_ASSERT(object != nullptr);
+  Findings findings;
+  const auto head = DecodeHead(object->body, "head", &findings);
+  CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToString());
+  SnapshotLoader loader(*head, nullptr);
+  for (const std::string& it : loader.Missing()) {
+    const StoredObject* page = platform->server.objects().Get(PageObjectKey(it));
+    CPPUNIT_ASSERT(page != nullptr);
+    CPPUNIT_ASSERT(loader.AddPage(it, page->body, &findings));
+  }
+  Snapshot::Ptr snapshot = loader.Finish(&findings);
+  CPPUNIT_ASSERT_EQUAL(std::string(), findings.ToString());
+  return snapshot;
+}
+
+/// How often the head lists the change set as accepted.
+int TimesAccepted(Platform* platform, const std::string& id) {
+  Findings findings;
+  const auto head =
+      DecodeHead(platform->server.objects().Get(kHeadObjectKey)->body, "head", &findings);
+  CPPUNIT_ASSERT(head.has_value());
+  return static_cast<int>(std::count_if(head->recent.begin(), head->recent.end(),
+                                        [&id](const RecentChange& it) { return it.id == id; }));
+}
+
+class CommitterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CommitterTest);
+  CPPUNIT_TEST(AcceptsInOrder);
+  CPPUNIT_TEST(SingleFaultsDoNotChangeTheResult);
+  CPPUNIT_TEST(OutageBeforeAnyWriteLeavesNothing);
+  CPPUNIT_TEST(OutageAfterTheHeadWriteIsUnknown);
+  CPPUNIT_TEST(LateHeadWriteIsNotAppliedTwice);
+  CPPUNIT_TEST(RacingCommittersLoseNothing);
+  CPPUNIT_TEST(RaceOnOneRecordHasOneWinner);
+  CPPUNIT_TEST(QueueIsBounded);
+  CPPUNIT_TEST(TimeLimitIncludesTheWait);
+  CPPUNIT_TEST(DestructionDropsCallbacks);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void AcceptsInOrder() {
+    Platform platform;
+    Node node(&platform);
+    for (int i = 0; i < 5; ++i) node.Start(Upsert("id" + std::to_string(i), "s", 100 + i));
+    CPPUNIT_ASSERT(node.outcomes.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, node.committer.pending());
+    node.WaitFor(5);
+    for (uint64_t i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT(node.outcomes[i].status == AcceptStatus::kAccepted);
+      CPPUNIT_ASSERT_EQUAL("id" + std::to_string(i), node.outcomes[i].change_set_id);
+      CPPUNIT_ASSERT(node.outcomes[i].version == ConfigVersion(1, i + 1));
+    }
+    CPPUNIT_ASSERT_EQUAL(LoadedFrom(&platform)->hash(), node.newest->hash());
+    // One head read and two writes for each change set, besides the pages of the first one: the
+    // committer takes the pages of its own last configuration from memory.
+    CPPUNIT_ASSERT_EQUAL(uint64_t{5}, platform.server.meter().get);
+  }
+
+  // Guards against a change that is applied twice, lost, or half written by one fault at any
+  // operation.
+  void SingleFaultsDoNotChangeTheResult() {
+    struct Case {
+      const char* name;
+      FaultMode mode;
+      const char* prefix;
+      const char* method;
+    };
+    const Case cases[] = {
+        {"lost head write", FaultMode::kLostAnswer, kHeadPrefix, "PUT"},
+        {"lost page write", FaultMode::kLostAnswer, kPagePrefix, "PUT"},
+        {"lost head read", FaultMode::kLostAnswer, kHeadPrefix, "GET"},
+        {"lost page read", FaultMode::kLostAnswer, kPagePrefix, "GET"},
+        {"dropped head write", FaultMode::kDropBefore, kHeadPrefix, "PUT"},
+        {"dropped page write", FaultMode::kDropBefore, kPagePrefix, "PUT"},
+        {"dropped head read", FaultMode::kDropBefore, kHeadPrefix, "GET"},
+        {"dropped page read", FaultMode::kDropBefore, kPagePrefix, "GET"},
+    };
+    for (const Case& it : cases) {
+      for (uint64_t count : {1, 3}) {
+        Platform platform;
+        Node first(&platform);
+        CPPUNIT_ASSERT(first.Commit(Upsert("first", "a")).status == AcceptStatus::kAccepted);
+        Node node(&platform);  // has to read the pages
+        platform.server.faults().Set(
+            {FaultRule{it.mode, count, milliseconds(0), it.prefix, {it.method}}});
+        const AcceptOutcome outcome = node.Commit(Upsert("second", "b"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, std::string("accepted"),
+                                     std::string(ToString(outcome.status)));
+        CPPUNIT_ASSERT_MESSAGE(it.name, platform.server.faults().injected() > 0);
+        const Snapshot::Ptr loaded = LoadedFrom(&platform);
+        CPPUNIT_ASSERT_MESSAGE(it.name, loaded->version() == ConfigVersion(1, 2));
+        CPPUNIT_ASSERT_MESSAGE(it.name, outcome.version == ConfigVersion(1, 2));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, size_t{2}, loaded->record_count());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, 1, TimesAccepted(&platform, "second"));
+      }
+    }
+  }
+
+  void OutageBeforeAnyWriteLeavesNothing() {
+    Platform platform;
+    Node node(&platform);
+    platform.server.faults().Set({FaultRule{FaultMode::kDown, 0, milliseconds(0), "", {}}});
+    const AcceptOutcome outcome = node.Commit(Upsert("id", "a"));
+    CPPUNIT_ASSERT(outcome.status == AcceptStatus::kUnknown);
+    CPPUNIT_ASSERT(!outcome.may_take_effect);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, platform.server.objects().size());
+    platform.server.faults().Set(std::vector<FaultRule>());
+    CPPUNIT_ASSERT(node.Commit(Upsert("id", "a")).version == ConfigVersion(1, 1));
+  }
+
+  // Guards against telling an operator that a change was refused while the platform holds it.
+  void OutageAfterTheHeadWriteIsUnknown() {
+    Platform platform;
+    Node node(&platform);
+    platform.server.faults().Set(
+        {FaultRule{FaultMode::kLostAnswer, 1, milliseconds(0), kHeadPrefix, {"PUT"}}});
+    node.Start(Upsert("id", "a"));
+    RunUntil(platform.base.get(), [&] { return platform.server.faults().injected() == 1; });
+    platform.server.faults().Set({FaultRule{FaultMode::kDown, 0, milliseconds(0), "", {}}});
+    node.WaitFor(1);
+    CPPUNIT_ASSERT(node.outcomes[0].status == AcceptStatus::kUnknown);
+    CPPUNIT_ASSERT(node.outcomes[0].may_take_effect);
+    platform.server.faults().Set(std::vector<FaultRule>());
+    // Another node gets the same change set again; it finds the acceptance.
+    Node other(&platform);
+    const AcceptOutcome again = other.Commit(Upsert("id", "a"));
+    CPPUNIT_ASSERT(again.status == AcceptStatus::kAccepted);
+    CPPUNIT_ASSERT(again.version == ConfigVersion(1, 1));
+    CPPUNIT_ASSERT(LoadedFrom(&platform)->version() == ConfigVersion(1, 1));
+  }
+
+  // Guards against a second version when a write that timed out arrives late (fault F3).
+  void LateHeadWriteIsNotAppliedTwice() {
+    constexpr milliseconds kStoreTimeout{200};
+    Platform platform;
+    Node node(&platform, Node::FastLimits(), kStoreTimeout);
+    platform.server.faults().Set(
+        {FaultRule{FaultMode::kSlow, 1, 3 * kStoreTimeout, kHeadPrefix, {"PUT"}}});
+    const AcceptOutcome outcome = node.Commit(Upsert("id", "a"));
+    CPPUNIT_ASSERT(outcome.status == AcceptStatus::kAccepted);
+    CPPUNIT_ASSERT(node.Commit(Upsert("next", "b")).status == AcceptStatus::kAccepted);
+    bool stopped = false;  // a graceful stop processes the delayed write first
+    platform.server.Stop([&stopped] { stopped = true; });
+    RunUntil(platform.base.get(), [&stopped] { return stopped; });
+    CPPUNIT_ASSERT(LoadedFrom(&platform)->version() == ConfigVersion(1, 2));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, LoadedFrom(&platform)->record_count());
+    CPPUNIT_ASSERT_EQUAL(1, TimesAccepted(&platform, "id"));
+  }
+
+  // Guards against lost changes when two nodes commit at once, also while answers get lost.
+  void RacingCommittersLoseNothing() {
+    constexpr size_t kChanges = 8;
+    for (uint64_t lost : {0, 4}) {
+      Platform platform;
+      std::vector<FaultRule> rules;
+      if (lost > 0) {
+        rules = {FaultRule{FaultMode::kLostAnswer, lost, milliseconds(0), kHeadPrefix, {"PUT"}}};
+      }
+      platform.server.faults().Set(rules);
+      Node a(&platform);
+      Node b(&platform);
+      for (size_t i = 0; i < kChanges; ++i) {
+        a.Start(Upsert("a" + std::to_string(i), "a" + std::to_string(i)));
+        b.Start(Upsert("b" + std::to_string(i), "b" + std::to_string(i)));
+      }
+      a.WaitFor(kChanges);
+      b.WaitFor(kChanges);
+      std::vector<ConfigVersion> versions;
+      for (const Node* node : {&a, &b}) {
+        for (const AcceptOutcome& it : node->outcomes) {
+          CPPUNIT_ASSERT_EQUAL(std::string("accepted"), std::string(ToString(it.status)));
+          CPPUNIT_ASSERT_EQUAL(1, TimesAccepted(&platform, it.change_set_id));
+          versions.push_back(it.version);
+        }
+      }
+      std::sort(versions.begin(), versions.end());
+      CPPUNIT_ASSERT(std::unique(versions.begin(), versions.end()) == versions.end());
+      const Snapshot::Ptr loaded = LoadedFrom(&platform);
+      CPPUNIT_ASSERT(loaded->version() == ConfigVersion(1, 2 * kChanges));
+      CPPUNIT_ASSERT_EQUAL(2 * kChanges, loaded->record_count());
+    }
+  }
+
+  void RaceOnOneRecordHasOneWinner() {
+    Platform platform;
+    Node a(&platform);
+    Node b(&platform);
+    CPPUNIT_ASSERT(a.Commit(Upsert("base", "s", 100)).status == AcceptStatus::kAccepted);
+    a.Start(ChangeSet{"a", {Change::Upsert(Service("s", 200), 1)}, false}, a.newest);
+    b.Start(ChangeSet{"b", {Change::Upsert(Service("s", 300), 1)}, false}, a.newest);
+    a.WaitFor(2);
+    b.WaitFor(1);
+    const AcceptOutcome& first = a.outcomes.back();
+    const AcceptOutcome& second = b.outcomes.back();
+    const bool a_won = first.status == AcceptStatus::kAccepted;
+    const AcceptOutcome& loser = a_won ? second : first;
+    CPPUNIT_ASSERT((a_won ? first : second).status == AcceptStatus::kAccepted);
+    CPPUNIT_ASSERT(loser.status == AcceptStatus::kConflict);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, loser.conflicts.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("service/s"), loser.conflicts[0].key.ToString());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, loser.conflicts[0].read_version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, loser.conflicts[0].current_version);
+    CPPUNIT_ASSERT(LoadedFrom(&platform)->version() == ConfigVersion(1, 2));
+  }
+
+  void QueueIsBounded() {
+    Platform platform;
+    CommitterLimits limits = Node::FastLimits();
+    limits.max_pending = 3;
+    Node node(&platform, limits);
+    for (int i = 0; i < 5; ++i) node.Start(Upsert("id" + std::to_string(i), "s"));
+    CPPUNIT_ASSERT(node.outcomes.empty());
+    node.WaitFor(5);
+    int accepted = 0;
+    for (const AcceptOutcome& it : node.outcomes) {
+      if (it.status == AcceptStatus::kAccepted) ++accepted;
+      if (it.status == AcceptStatus::kUnknown) CPPUNIT_ASSERT(!it.may_take_effect);
+    }
+    CPPUNIT_ASSERT_EQUAL(3, accepted);
+    CPPUNIT_ASSERT(LoadedFrom(&platform)->version() == ConfigVersion(1, 3));
+  }
+
+  // Guards against operators that wait for the time limit of each change set before theirs.
+  void TimeLimitIncludesTheWait() {
+    constexpr int kChanges = 20;
+    Platform platform;
+    CommitterLimits limits = Node::FastLimits();
+    limits.time_limit = milliseconds(1000);
+    Node node(&platform, limits);
+    platform.server.faults().Set(
+        {FaultRule{FaultMode::kSlow, 0, std::chrono::minutes(10), "", {}}});
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < kChanges; ++i) node.Start(Upsert("id" + std::to_string(i), "s"));
+    node.WaitFor(kChanges);
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < kChanges * limits.time_limit / 2);
+    for (const AcceptOutcome& it : node.outcomes) {
+      CPPUNIT_ASSERT(it.status == AcceptStatus::kUnknown);
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, platform.server.meter().get);
+  }
+
+  void DestructionDropsCallbacks() {
+    Platform platform;
+    const auto store = platform.NewStore(kTimeout);
+    auto committer = std::make_unique<Committer>(platform.base.get(), store.get());
+    int calls = 0;
+    const auto count = [&calls](const AcceptOutcome&, const Snapshot::Ptr&) { ++calls; };
+    committer->Commit(Upsert("a", "s"), Snapshot::Empty(), kSchema, count);
+    RunUntil(platform.base.get(), [&] { return platform.server.meter().get == 1; });
+    committer.reset();
+    // The committer may also be destroyed by the callback of its last result.
+    committer = std::make_unique<Committer>(platform.base.get(), store.get());
+    bool done = false;
+    committer->Commit(Upsert("b", "s"), Snapshot::Empty(), kSchema,
+                      [&](const AcceptOutcome&, const Snapshot::Ptr&) {
+                        done = true;
+                        committer.reset();
+                      });
+    committer->Commit(Upsert("c", "s"), Snapshot::Empty(), kSchema, count);
+    RunUntil(platform.base.get(), [&done] { return done; });
+    platform.Get(store.get(), "a");
+    CPPUNIT_ASSERT_EQUAL(0, calls);
+    CPPUNIT_ASSERT(LoadedFrom(&platform)->version() == ConfigVersion(1, 1));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CommitterTest);
+
+}  // namespace
+}  // namespace camphorhoist
