--- a/src/camphorhoist/apply_command.cc
+++ b/src/camphorhoist/apply_command.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kRepeatDelay{200};
 constexpr milliseconds kStatusPollPeriod{250};
 
+// State of a node that stopped gracefully; it serves no calls and gets no versions any more.
+const char kLeft[] = "left";
+
 std::string DrawId() { return boost::uuids::to_string(boost::uuids::random_generator()()); }
 
 milliseconds Until(SteadyClock::time_point deadline) {
@@ -70,7 +73,7 @@
     return result;
   }
   for (const MemberStatus& it : status.members) {
-    if (it.version >= version) continue;
+    if (it.version >= version || it.state == kLeft) continue;
     std::string text = it.address + " has " + it.version.ToString();
     if (!it.reason.empty()) text += " (" + it.reason + ")";
     result.lagging.push_back(std::move(text));
@@ -101,7 +104,11 @@
   } else {
     out << ChangeOutcomeName(result.outcome) << "\n";
   }
-  if (!result.findings.empty()) session.context.err << result.findings.ToString() << "\n";
+  for (const Finding& it : result.findings.items()) {
+    // An answer without findings has its message repeated as one.
+    const bool repeated = result.error && it.message() == result.error.message();
+    if (!repeated) session.context.err << it.ToString() << "\n";
+  }
 }
 
 Json ChangeJson(const ChangeResult& result) {
@@ -177,6 +184,10 @@
     session.client.ChangeSetOutcome(session.arguments.id, session.arguments.timeout,
                                     std::move(done));
   });
+  if (result.error == Errc::kNotFound && !session.arguments.json) {
+    session.context.err << session.arguments.id << ": is not among the recently accepted\n";
+    return CliExit::kFindings;
+  }
   return Report(session, result);
 }
 
--- a/src/libplatform/committer.cc
+++ b/src/libplatform/committer.cc
@@ -94,6 +94,10 @@
 void Committer::Carry(AcceptEffect effect) {
   if (const auto* outcome = std::get_if<AcceptOutcome>(&effect)) return Finish(*outcome);
   if (AttemptOf(effect) == 0) return Execute(effect);
+  Delay(std::move(effect));
+}
+
+void Committer::Delay(AcceptEffect effect) {
   delayed_ = std::move(effect);
   delay_.StartOnce(limits_.retry_delay);
 }
@@ -101,13 +105,17 @@
 void Committer::Execute(const AcceptEffect& effect) {
   const uint64_t run = run_;
   if (const auto* read = std::get_if<ReadObject>(&effect)) {
-    store_->Get(read->key, [this, run, alive = alive_](const GetResult& result) {
-      if (*alive && run == run_) Carry(acceptance_->OnRead(ToReadResult(result)));
+    store_->Get(read->key, [this, run, effect, alive = alive_](const GetResult& result) {
+      if (!*alive || run != run_) return;
+      if (result.error == Errc::kBudgetExhausted) return Delay(effect);
+      Carry(acceptance_->OnRead(ToReadResult(result)));
     });
   } else if (const auto* write = std::get_if<WriteObject>(&effect)) {
     store_->Put(write->key, write->body, write->expected_version.value_or(0),
-                [this, run, alive = alive_](const PutResult& result) {
-                  if (*alive && run == run_) Carry(acceptance_->OnWrite(ToWriteResult(result)));
+                [this, run, effect, alive = alive_](const PutResult& result) {
+                  if (!*alive || run != run_) return;
+                  if (result.error == Errc::kBudgetExhausted) return Delay(effect);
+                  Carry(acceptance_->OnWrite(ToWriteResult(result)));
                 });
   }
 }
--- a/src/libplatform/committer.h
+++ b/src/libplatform/committer.h
@@ -66,6 +66,9 @@
   void Refuse(const std::string& id, const char* reason, Callback callback);
   void DeliverRefusals();
   void Carry(AcceptEffect effect);
+  /// Executes `effect` after the retry delay. A call that the budget of this node refused was not
+  /// sent, so that it does not count as an attempt.
+  void Delay(AcceptEffect effect);
   void Execute(const AcceptEffect& effect);
   void Finish(const AcceptOutcome& outcome);
 
--- a/src/libplatform/committer_test.cc
+++ b/src/libplatform/committer_test.cc
@@ -9,6 +9,7 @@
 
 #include "camphorhoist/config_head.h"
 #include "camphorhoist/error.h"
+#include "libplatform/budgeted_object_store.h"
 #include "libplatform/platform_fixture.h"
 
 namespace camphorhoist {
@@ -111,6 +112,7 @@
   CPPUNIT_TEST(RaceOnOneRecordHasOneWinner);
   CPPUNIT_TEST(QueueIsBounded);
   CPPUNIT_TEST(TimeLimitIncludesTheWait);
+  CPPUNIT_TEST(WaitsForTheBudget);
   CPPUNIT_TEST(DestructionDropsCallbacks);
   CPPUNIT_TEST_SUITE_END();
 
@@ -316,6 +318,36 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, platform.server.meter().get);
   }
 
+  // Guards against a large change set that can never be written because its pages exceed the burst
+  // of the node's own budget.
+  void WaitsForTheBudget() {
+    constexpr int kRecords = 30;
+    Platform platform;
+    const auto inner = platform.NewStore(kTimeout);
+    StoreBudget budget;
+    budget.read_burst = 1;
+    budget.write_burst = 2;
+    budget.reads_per_second = 100;
+    budget.writes_per_second = 100;
+    BudgetedObjectStore store(platform.base.get(), inner.get(), budget);
+    CommitterLimits limits = Node::FastLimits();
+    limits.time_limit = kTestLimit;
+    Committer committer(platform.base.get(), &store, limits);
+    ChangeSet change_set{"id", {}, false};
+    for (int i = 0; i < kRecords; ++i) {
+      change_set.changes.push_back(
+          Change::UnconditionalUpsert(Service("s" + std::to_string(i), 100)));
+    }
+    std::vector<AcceptOutcome> outcomes;
+    committer.Commit(
+        std::move(change_set), Snapshot::Empty(), kSchema,
+        [&](const AcceptOutcome& it, const Snapshot::Ptr&) { outcomes.push_back(it); });
+    RunUntil(platform.base.get(), [&outcomes] { return outcomes.size() == 1; });
+    CPPUNIT_ASSERT(outcomes[0].status == AcceptStatus::kAccepted);
+    CPPUNIT_ASSERT(store.meter().Stats(StoreCall::kPut).refused > 5);
+    CPPUNIT_ASSERT_EQUAL(size_t{kRecords}, LoadedFrom(&platform)->record_count());
+  }
+
   void DestructionDropsCallbacks() {
     Platform platform;
     const auto store = platform.NewStore(kTimeout);
