--- a/src/libupstream/answer_parser.cc
+++ b/src/libupstream/answer_parser.cc
@@ -66,12 +66,14 @@
 bool AnswerParser::TakeLine(evbuffer* input, size_t limit, std::string* line, Step* step) {
   size_t eol_bytes = 0;
   const evbuffer_ptr eol = evbuffer_search_eol(input, nullptr, &eol_bytes, EVBUFFER_EOL_CRLF);
-  const size_t size = eol.pos < 0 ? evbuffer_get_length(input) : static_cast<size_t>(eol.pos);
-  if (size > limit) {
+  const bool has_eol = eol.pos >= 0;
+  const size_t size = has_eol ? static_cast<size_t>(eol.pos) : evbuffer_get_length(input);
+  // The CR of a line whose LF has not arrived yet does not count.
+  if (size > (has_eol ? limit : limit + 1)) {
     *step = Fail("a line exceeds " + std::to_string(limit) + " bytes");
     return false;
   }
-  if (eol.pos < 0) {
+  if (!has_eol) {
     *step = Step::kNeedMore;
     return false;
   }
--- /dev/null
+++ b/src/libupstream/answer_parser_test.cc
@@ -0,0 +1,151 @@
+#include "libupstream/answer_parser.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "libbase/event_ptr.h"
+
+namespace camphorhoist {
+namespace {
+
+struct Parsed {
+  std::string end;
+  int status = 0;
+  std::string body;
+  bool keep_alive = false;
+  size_t left = 0;
+};
+
+/// Feeds `text` in pieces of `piece` bytes.
+Parsed Parse(const std::string& text, size_t piece, bool no_body) {
+  AnswerParser parser(no_body);
+  const EvbufferPtr input(evbuffer_new());
+  Parsed result;
+  result.end = "incomplete";
+  for (size_t at = 0; at < text.size() && result.end == "incomplete"; at += piece) {
+    evbuffer_add(input.get(), text.data() + at, std::min(piece, text.size() - at));
+    for (bool more = true; more;) {
+      switch (parser.Next(input.get())) {
+        case AnswerParser::Step::kNeedMore:
+          more = false;
+          break;
+        case AnswerParser::Step::kHead:
+          break;
+        case AnswerParser::Step::kData:
+          result.body += parser.data();
+          break;
+        case AnswerParser::Step::kWhole:
+          result.end = "whole";
+          more = false;
+          break;
+        case AnswerParser::Step::kBroken:
+          result.end = parser.fault();
+          more = false;
+          break;
+      }
+    }
+  }
+  result.status = parser.status();
+  result.keep_alive = parser.keep_alive();
+  result.left = evbuffer_get_length(input.get());
+  return result;
+}
+
+class AnswerParserTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AnswerParserTest);
+  CPPUNIT_TEST(ReadsAnswersInPiecesOfAnySize);
+  CPPUNIT_TEST(RejectsAnswersWithoutACertainEnd);
+  CPPUNIT_TEST(BoundsHeads);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against answers whose end is seen too early or too late (P4).
+  void ReadsAnswersInPiecesOfAnySize() {
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    const struct {
+      std::string text;
+      bool head_request;
+      const char* end;
+      const char* body;
+      bool keep_alive;
+      size_t left;
+    } cases[] = {
+        {ok + "Content-Length: 3\r\n\r\nabc", false, "whole", "abc", true, 0},
+        {ok + "Content-Length: 3\r\n\r\nab", false, "incomplete", "ab", true, 0},
+        {ok + "Content-Length: 0\r\n\r\n", false, "whole", "", true, 0},
+        {ok + "content-length: 3\r\nConnection: Close\r\n\r\nabc", false, "whole", "abc", false, 0},
+        {ok + "Content-Length: 3\r\n\r\n", true, "whole", "", true, 0},
+        {"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\na", false, "whole", "a", false, 0},
+        {"HTTP/1.1 204 \r\nContent-Length: 3\r\n\r\n", false, "whole", "", true, 0},
+        {"HTTP/1.1 304\r\n\r\n", false, "whole", "", true, 0},
+        {"HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 1\r\n\r\na", false, "whole", "a",
+         true, 0},
+        {chunked + "3\r\nabc\r\n0A;x=y\r\n0123456789\r\n0\r\nTrailer: 1\r\n\r\n", false, "whole",
+         "abc0123456789", true, 0},
+        {chunked + "3\r\nabc\r\n0\r\n", false, "incomplete", "abc", true, 0},
+        {chunked + "3\r\nabc\r\n", false, "incomplete", "abc", true, 0},
+    };
+    for (const auto& it : cases) {
+      for (size_t piece : {size_t{1}, size_t{7}, it.text.size()}) {
+        const Parsed parsed = Parse(it.text, piece, it.head_request);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.text, std::string(it.end), parsed.end);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.text, std::string(it.body), parsed.body);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.text, it.keep_alive, parsed.keep_alive);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.text, it.left, parsed.left);
+      }
+    }
+    // Bytes after the end stay in the buffer, where the client sees them.
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, Parse(ok + "Content-Length: 1\r\n\r\naHTTP", 999, false).left);
+  }
+
+  // Guards against guessing at an end that two readers could see at different places.
+  void RejectsAnswersWithoutACertainEnd() {
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& it :
+         {ok + "\r\nabc",
+          ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+          ok + "Content-Length: -1\r\n\r\n",
+          ok + "Content-Length: 1, 1\r\n\r\na",
+          ok + "Content-Length: 99999999999999999999\r\n\r\na",
+          ok + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          ok + "Transfer-Encoding: gzip\r\n\r\nabc",
+          ok + "Transfer-Encoding : chunked\r\n\r\n",
+          ok + " folded\r\n\r\n",
+          chunked + "\r\n",
+          chunked + "x\r\n",
+          chunked + "-1\r\n",
+          chunked + "3\r\nabcd\r\n",
+          chunked + "fffffffffffffffff\r\n",
+          chunked + "3 4\r\nabc",
+          std::string("HTTP/1.1 101 Switching Protocols\r\n\r\n"),
+          std::string("HTTP/2 200\r\n\r\n"),
+          std::string("HTTP/1.1 2x0 OK\r\n\r\n"),
+          std::string("HTTP/1.1 20\r\n\r\n"),
+          std::string("\r\n\r\n"),
+          std::string("nonsense\r\n")}) {
+      const Parsed parsed = Parse(it, it.size(), false);
+      CPPUNIT_ASSERT_MESSAGE(it, parsed.end != "whole" && parsed.end != "incomplete");
+      CPPUNIT_ASSERT_MESSAGE(it, !parsed.keep_alive);
+    }
+  }
+
+  // Guards against memory that an upstream's endless head can take.
+  void BoundsHeads() {
+    const std::string line = "A: " + std::string(1000, 'a') + "\r\n";
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    while (text.size() < 2 * AnswerParser::kMaxHeadBytes) text += line;
+    for (const std::string& it :
+         {text, "HTTP/1.1 200 " + std::string(2 * AnswerParser::kMaxHeadBytes, 'x')}) {
+      const Parsed parsed = Parse(it, 4096, false);
+      CPPUNIT_ASSERT(parsed.end != "whole" && parsed.end != "incomplete");
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AnswerParserTest);
+
+}  // namespace
+}  // namespace camphorhoist
