--- a/src/libconfig/acceptance_test.cc
+++ b/src/libconfig/acceptance_test.cc
@@ -227,7 +227,7 @@
     const ConfigHead head = MakeHead(*BuildSnapshot(129, "[]"), recent, std::string(128, 'y'));
     CPPUNIT_ASSERT_EQUAL(kMaxRecentChanges, head.recent.size());
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, head.recent.front().number);
-    CPPUNIT_ASSERT(EncodeHead(head).size() < kMaxObjectBytes);
+    CPPUNIT_ASSERT(EncodeHead(head).size() < kMaxConfigObjectBytes);
     std::vector<StoredRecord> records;
     for (int n = 0; records.size() < 16; ++n) {
       const Record record = LargeRoute(n);
