--- a/src/libconfig/acceptance_test.cc
+++ b/src/libconfig/acceptance_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(RefusesLostOrOlderHead);
   CPPUNIT_TEST(PendingWriteBeyondRecentIsUnknown);
   CPPUNIT_TEST(PendingWriteAcrossEpochsIsUnknown);
+  CPPUNIT_TEST(MovedHeadSettlesPendingWrite);
   CPPUNIT_TEST(DamagedObjectsAreUnknown);
   CPPUNIT_TEST(GivesUpAfterBoundedRebases);
   CPPUNIT_TEST(HeadAndPagesStayBelowLimit);
@@ -179,6 +180,17 @@
     CPPUNIT_ASSERT(outcome.may_take_effect);
   }
 
+  // Guards against a warning about a write that can no longer take effect.
+  void MovedHeadSettlesPendingWrite() {
+    Acceptance acceptance({"c2", {Change::Upsert(Service("a", 2), 1)}}, Load(), kFleetSchema);
+    StopBeforeHeadWrite(&acceptance);
+    AcceptEffect effect = acceptance.OnTimeout();
+    Submit(&store_, {"o", {Change::UnconditionalUpsert(Service("b", 2))}});
+    effect = Step(&acceptance, effect);
+    CPPUNIT_ASSERT(std::holds_alternative<ReadObject>(effect));
+    CPPUNIT_ASSERT(!acceptance.OnDeadline().may_take_effect);
+  }
+
   // Guards against a write on top of a configuration that could not be read in full (P3).
   void DamagedObjectsAreUnknown() {
     const std::string page =
--- a/src/libconfig/config_bench.cc
+++ b/src/libconfig/config_bench.cc
@@ -143,10 +143,9 @@
 }
 
 void MeasureObjects(const Snapshot::Ptr& snapshot, Report* report) {
-  std::vector<RecentChange> recent;
-  recent.reserve(kMaxRecentChanges);
-  for (uint64_t n = 1; n <= kMaxRecentChanges; ++n) {
-    recent.push_back({"operator-0000-0000-0000-" + std::to_string(n), n});
+  std::vector<RecentChange> recent(kMaxRecentChanges);
+  for (size_t n = 0; n < recent.size(); ++n) {
+    recent[n] = {"operator-0000-0000-0000-" + std::to_string(n + 1), n + 1};
   }
   const std::string head = EncodeHead(MakeHead(*snapshot, recent, "last"));
   report->Add("size of the head with 128 change sets", static_cast<double>(head.size()), "bytes");
