--- a/src/libconfig/config_bench.cc
+++ b/src/libconfig/config_bench.cc
@@ -107,6 +107,7 @@
   const std::vector<Record> records = ParseRecords(text, "bench", &findings);
   RequireNone(findings);
   std::vector<StoredRecord> stored;
+  stored.reserve(records.size());
   for (const Record& it : records) stored.push_back({it, 1});
   report->Add("records", static_cast<double>(records.size()), "records");
   report->Add("parse all records", MedianUs([&] { ParseRecords(text, "bench", &findings); }), "us");
