--- a/src/libconfig/snapshot_test.cc
+++ b/src/libconfig/snapshot_test.cc
@@ -187,6 +187,10 @@
     Findings findings;
     CPPUNIT_ASSERT(!loader.AddPage(*loader.NextMissing(), "{\"records\":[]}", &findings));
     CPPUNIT_ASSERT(!findings.empty());
+    const std::string body = snapshot->pages()[0]->Encode();
+    Findings spelling;
+    CPPUNIT_ASSERT(ConfigPage::Decode(0, body + " ", "page", &spelling) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("page: is not in canonical form"), spelling.ToString());
     Findings none;
     for (const ConfigPage::Ptr& it : snapshot->pages()) {
       loader.AddPage(it->hash(), it->Encode(), &none);
