--- a/src/libconfig/config_bench.cc
+++ b/src/libconfig/config_bench.cc
@@ -107,6 +107,7 @@
   const std::vector<Record> records = ParseRecords(text, "bench", &findings);
   RequireNone(findings);
   std::vector<StoredRecord> stored;
+  stored.reserve(records.size());
   for (const Record& it : records) stored.push_back({it, 1});
   report->Add("records", static_cast<double>(records.size()), "records");
   report->Add("parse all records", MedianUs([&] { ParseRecords(text, "bench", &findings); }), "us");
@@ -143,9 +144,9 @@
 }
 
 void MeasureObjects(const Snapshot::Ptr& snapshot, Report* report) {
-  std::vector<RecentChange> recent;
-  for (uint64_t n = 1; n <= kMaxRecentChanges; ++n) {
-    recent.push_back({"operator-0000-0000-0000-" + std::to_string(n), n});
+  std::vector<RecentChange> recent(kMaxRecentChanges);
+  for (size_t n = 0; n < recent.size(); ++n) {
+    recent[n] = {"operator-0000-0000-0000-" + std::to_string(n + 1), n + 1};
   }
   const std::string head = EncodeHead(MakeHead(*snapshot, recent, "last"));
   report->Add("size of the head with 128 change sets", static_cast<double>(head.size()), "bytes");
