--- a/src/libcall/testing/fake_mesh.cc
+++ b/src/libcall/testing/fake_mesh.cc
@@ -133,7 +133,7 @@
   return step == Step::kCall || step == Step::kResolve || step == Step::kCancel;
 }
 
-void FakeMesh::Send(Message message) {
+void FakeMesh::Send(const Message& message) {
   Note(message.call, message.attempt, std::string("send ") + ToText(message.step));
   bool handled = false;
   for (Armed& it : armed_) {
--- a/src/libcall/testing/fake_mesh.h
+++ b/src/libcall/testing/fake_mesh.h
@@ -150,7 +150,7 @@
   void BeginCall(size_t call);
   static bool ToNode(Step step);
 
-  void Send(Message message);
+  void Send(const Message& message);
   void Schedule(const Message& message, CallDuration extra, bool in_order);
   void Deliver(const Message& message);
   void DeliverToNode(const Message& message);
