Compare service times only after enough samples

Cause: the first service time alone became the mean and, as the lowest, the baseline. Service times vary much from call to call, so that the mean soon exceeded twice a baseline of one fast call and the limit fell to half of the slots for no reason. Ruled out: a higher slow factor; it would also hide upstreams that really are slow.

--- a/include/camphorhoist/concurrency_limit.h
+++ b/include/camphorhoist/concurrency_limit.h
@@ -23,6 +23,7 @@
   /// Time constants of the recent mean and of the baseline.
   static constexpr std::chrono::milliseconds kRecent{200};
   static constexpr std::chrono::milliseconds kBaseline{30000};
+  static constexpr std::chrono::milliseconds kBaselineFall{3000};
   /// Lowest limit as a share of the slots. An upstream that is slow for an outside reason gains
   /// nothing from fewer calls, so the limit does not fall to one.
   static constexpr double kFloorShare = 0.5;
@@ -38,6 +39,7 @@
  private:
   struct Mean {
     double micros = 0;
+    double samples = 0;
     CallTime at{};
     void Add(CallTime now, double sample, std::chrono::milliseconds time_constant);
   };
--- a/src/libcall/concurrency_limit.cc
+++ b/src/libcall/concurrency_limit.cc
@@ -5,19 +5,24 @@
 
 namespace camphorhoist {
 
+namespace {
+
+/// Samples that a mean needs before it is compared; its weight in later updates.
+constexpr double kMeanSamples = 100;
+/// No single sample counts more than in a mean of this many, even after a pause.
+constexpr double kShareSamples = 10;
+
+}  // namespace
+
 void ConcurrencyLimit::Mean::Add(CallTime now, double sample,
                                  std::chrono::milliseconds time_constant) {
-  if (micros == 0) {
-    micros = sample;
-    at = now;
-    return;
-  }
-  // A call moves the mean at least a little even when many finish at the same instant.
-  constexpr double kLeastShare = 0.01;
+  // The first samples are averaged plainly, and later ones never count less than in a mean of this
+  // many: a single service time says little, since they vary much from call to call.
+  samples = std::min(samples + 1, kMeanSamples);
   const double elapsed = std::chrono::duration<double>(now - at).count();
   const double constant = std::chrono::duration<double>(time_constant).count();
-  const double share = std::max(1 - std::exp(-elapsed / constant), kLeastShare);
-  micros += share * (sample - micros);
+  const double share = std::min(1 - std::exp(-elapsed / constant), 1 / kShareSamples);
+  micros += std::max(share, 1 / samples) * (sample - micros);
   at = now;
 }
 
@@ -37,7 +42,9 @@
 void ConcurrencyLimit::Adapt(CallTime now) {
   if (now - adapted_at_ < kWindow) return;
   adapted_at_ = now;
-  const bool slow = baseline_.micros > 0 && recent_.micros > kSlowFactor * baseline_.micros;
+  const bool known = recent_.samples >= kMeanSamples;
+  const bool slow =
+      known && baseline_.samples > 0 && recent_.micros > kSlowFactor * baseline_.micros;
   if (slow || shed_) {
     const double floor = std::max(1.0, std::ceil(slots_ * kFloorShare));
     limit_ = std::max(limit_ * kDecrease, floor);
@@ -45,16 +52,14 @@
     limit_ = std::min(limit_ + kIncrease, static_cast<double>(slots_));
   }
   shed_ = false;
-  if (recent_.micros == 0) return;
-  // Falls at once: a faster upstream shows what it can do without load.
-  if (baseline_.micros == 0 || recent_.micros < baseline_.micros) {
-    baseline_.micros = recent_.micros;
-    baseline_.at = now;
-    return;
-  }
+  if (!known) return;
+  if (baseline_.samples == 0) baseline_ = recent_;
+  // Falls faster than it rises: a low service time shows what the upstream can do, a high one may
+  // be load.
+  const auto constant = recent_.micros < baseline_.micros ? kBaselineFall : kBaseline;
   const double elapsed = std::chrono::duration<double>(now - baseline_.at).count();
-  const double constant = std::chrono::duration<double>(kBaseline).count();
-  baseline_.micros += (1 - std::exp(-elapsed / constant)) * (recent_.micros - baseline_.micros);
+  const double seconds = std::chrono::duration<double>(constant).count();
+  baseline_.micros += (1 - std::exp(-elapsed / seconds)) * (recent_.micros - baseline_.micros);
   baseline_.at = now;
 }
 
