Hedge after the 0.98 quantile

Cause: with the 0.95 quantile 5% of ordinary calls ask for a hedge, which is the whole budget of 5%; nothing was left when upstreams slowed down.

--- a/include/camphorhoist/call_budget.h
+++ b/include/camphorhoist/call_budget.h
@@ -41,7 +41,8 @@
 /// Thread safety: none; use from one thread.
 class HedgePolicy {
  public:
-  static constexpr double kQuantile = 0.95;
+  /// At 0.95 ordinary slow calls alone use up a budget of 5% and leave nothing for slow upstreams.
+  static constexpr double kQuantile = 0.98;
   /// No hedge before this many samples: a quantile of fewer means nothing.
   static constexpr double kMinSamples = 50;
   /// The weight of all samples is halved once it reaches this number, so that old ones fade.
