Test that a refused call stays refused

Cause: with refusals no longer remembered the single-fault matrix still passed (a mutation showed it). Conclusion: a late copy of a refused call is now tested at the gate.

--- a/src/libcall/gate_test.cc
+++ b/src/libcall/gate_test.cc
@@ -61,6 +61,7 @@
   CPPUNIT_TEST(SlowUpstreamLowersLimit);
   CPPUNIT_TEST(ColdStartWarmsUp);
   CPPUNIT_TEST(FullLedgerRefusesAndForgetsNothing);
+  CPPUNIT_TEST(RefusedCallStaysRefused);
   CPPUNIT_TEST(LedgerEntryHasStatedSize);
   CPPUNIT_TEST(FailuresEjectAndReturnGradually);
   CPPUNIT_TEST(PanicIgnoresEjection);
@@ -152,6 +153,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string("start "), Shape(gate.Offer(kStart + seconds(60), later)));
   }
 
+  // Guards P5: a late copy of a refused call must not run after the caller was told `not_run`.
+  void RefusedCallStaysRefused() {
+    GateOptions options;
+    UpstreamGate gate(options, kStart);
+    GateCall late = Call(1);
+    late.deadline = kStart;
+    CPPUNIT_ASSERT_EQUAL(std::string("deadline "), Shape(gate.Offer(kStart, late)));
+    CPPUNIT_ASSERT_EQUAL(std::string("voided "), Shape(gate.Offer(kStart, Call(1))));
+  }
+
   // Guards the memory figure that the capacity is derived from.
   void LedgerEntryHasStatedSize() {
     constexpr size_t kEntries = 100000;
