--- a/src/camphorhoist/cli_args.cc
+++ b/src/camphorhoist/cli_args.cc
@@ -236,7 +236,9 @@
     }
     if (!rule.takes_file || !result_.file.empty()) return;
     // A change set may consist of removals only.
-    const bool optional = rule.takes_change_options && !result_.remove.empty();
+    const bool has_removal = std::find(change_options_.begin(), change_options_.end(),
+                                       "--remove") != change_options_.end();
+    const bool optional = rule.takes_change_options && has_removal;
     if (!optional) findings_->Add("--file", std::string("is needed by ") + rule.name);
   }
 
--- a/src/liboperator/operator_test.cc
+++ b/src/liboperator/operator_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(QueriesSurviveTheWire);
   CPPUNIT_TEST(BackendErrorsHaveStatuses);
   CPPUNIT_TEST(LateAnswerAndClosedConnectionAreSafe);
+  CPPUNIT_TEST(AnswerThatNobodyReadsDoesNotKeepTheServerBusy);
   CPPUNIT_TEST(AnswerAfterDestructionIsDropped);
   CPPUNIT_TEST(ClientMovesOnOnlyWithoutEffect);
   CPPUNIT_TEST(MalformedAnswersAreErrors);
@@ -238,6 +239,17 @@
     RunUntil(node.base.get(), [&node] { return node.server->idle(); });
   }
 
+  // Guards against a graceful stop that waits for a client that is gone.
+  void AnswerThatNobodyReadsDoesNotKeepTheServerBusy() {
+    Node node;
+    node.backend.dump.dump.assign(4 * HttpClient::kMaxBodyBytes, ' ');
+    OperatorClient client(node.base.get(), {node.address});
+    const auto dump = Await<DumpResult>(node.base.get(),
+                                        [&](auto done) { client.Dump(kTimeout, std::move(done)); });
+    CPPUNIT_ASSERT(dump.error == Errc::kUnavailable);
+    RunUntil(node.base.get(), [&node] { return node.server->idle(); });
+  }
+
   void AnswerAfterDestructionIsDropped() {
     Node node;
     node.backend.hold = true;
--- a/src/libplatform/http_listener.cc
+++ b/src/libplatform/http_listener.cc
@@ -157,9 +157,11 @@
   for (const auto& header : reply.headers) {
     evhttp_add_header(out, header.first.c_str(), header.second.c_str());
   }
-  if (evhttp_request_get_connection(req) != nullptr) {
-    ++unsent_;
+  evhttp_connection* connection = evhttp_request_get_connection(req);
+  if (connection != nullptr) {
+    unsent_.insert(connection);
     evhttp_request_set_on_complete_cb(req, &HttpListener::OnSent, this);
+    evhttp_connection_set_closecb(connection, &HttpListener::OnClosed, this);
   }
   evbuffer_add(evhttp_request_get_output_buffer(req), reply.body.data(), reply.body.size());
   evhttp_send_reply(req, reply.status, nullptr, nullptr);
@@ -174,8 +176,12 @@
   self->handler_(id, Read(req));
 }
 
-void HttpListener::OnSent(evhttp_request*, void* arg) {
-  --static_cast<HttpListener*>(arg)->unsent_;
+void HttpListener::OnSent(evhttp_request* req, void* arg) {
+  static_cast<HttpListener*>(arg)->unsent_.erase(evhttp_request_get_connection(req));
+}
+
+void HttpListener::OnClosed(evhttp_connection* connection, void* arg) {
+  static_cast<HttpListener*>(arg)->unsent_.erase(connection);
 }
 
 void HttpListener::CloseNow(RequestId id) {
--- a/src/libplatform/http_listener.h
+++ b/src/libplatform/http_listener.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <system_error>
 
@@ -66,18 +67,20 @@
 
   /// Number of requests that have no answer yet, and of answers not yet written to the socket.
   size_t pending() const { return pending_.size(); }
-  size_t unsent() const { return unsent_; }
+  size_t unsent() const { return unsent_.size(); }
 
  private:
   static void OnRequest(evhttp_request* req, void* arg);
   static void OnSent(evhttp_request* req, void* arg);
+  static void OnClosed(evhttp_connection* connection, void* arg);
   void CloseNow(RequestId id);
 
   Handler handler_;
   NetAddress address_;
   RequestId next_id_ = 1;
   std::map<RequestId, evhttp_request*> pending_;
-  size_t unsent_ = 0;
+  /// Connections with an answer that is not written yet.
+  std::set<evhttp_connection*> unsent_;
   EvhttpPtr server_;
   evhttp_bound_socket* socket_ = nullptr;
   Mailbox<RequestId> to_close_;
