Make the committer and stand-in tests decisive

Mutations showed that late results, the start of the time limit, budget refusals and the end of a graceful stop were not covered. Each has a test now.

--- a/src/liboperator/operator_test.cc
+++ b/src/liboperator/operator_test.cc
@@ -293,13 +293,13 @@
   }
 
   void MalformedAnswersAreErrors() {
-    const char* const kBroken[] = {"",
-                                   "7",
-                                   "{}",
-                                   "[]",
-                                   R"({"version":"1"})",
-                                   R"({"version":"1.x","records":[],"members":[]})"};
-    for (const char* it : kBroken) {
+    const char* const broken[] = {"",
+                                  "7",
+                                  "{}",
+                                  "[]",
+                                  R"({"version":"1"})",
+                                  R"({"version":"1.x","records":[],"members":[]})"};
+    for (const char* it : broken) {
       CPPUNIT_ASSERT_MESSAGE(it, !ReadChangeResult(it));
       CPPUNIT_ASSERT_MESSAGE(it, !ReadRecords(it));
       CPPUNIT_ASSERT_MESSAGE(it, !ReadStatus(it));
--- a/src/libplatform/committer_test.cc
+++ b/src/libplatform/committer_test.cc
@@ -73,6 +73,44 @@
   Committer committer;
 };
 
+/// Keeps the calls whose kind is held until they are released.
+class HoldingStore : public ObjectStore {
+ public:
+  explicit HoldingStore(ObjectStore* inner) : inner_(inner) {}
+
+  void Get(const std::string& key, GetCallback callback) override {
+    if (!hold_gets) return inner_->Get(key, std::move(callback));
+    held.push_back([callback = std::move(callback)] { callback({Errc::kNotFound, 0, ""}); });
+  }
+  void Put(const std::string& key, std::string body, ObjectVersion expected_version,
+           PutCallback callback) override {
+    std::function<void()> call = [this, key, body = std::move(body), expected_version,
+                                  callback = std::move(callback)] {
+      inner_->Put(key, body, expected_version, callback);
+    };
+    if (!hold_puts) return call();
+    held.push_back(std::move(call));
+  }
+  void Watch(const std::string& key, ObjectVersion after_version, milliseconds timeout,
+             WatchCallback callback) override {
+    inner_->Watch(key, after_version, timeout, std::move(callback));
+  }
+  void List(const std::string& prefix, ListCallback callback) override {
+    inner_->List(prefix, std::move(callback));
+  }
+  void Delete(const std::string& key, ObjectVersion expected_version,
+              DeleteCallback callback) override {
+    inner_->Delete(key, expected_version, std::move(callback));
+  }
+
+  bool hold_gets = false;
+  bool hold_puts = false;
+  std::vector<std::function<void()>> held;
+
+ private:
+  ObjectStore* inner_;
+};
+
 /// The configuration that the platform holds; fails if it is not complete.
 Snapshot::Ptr LoadedFrom(Platform* platform) {
   const StoredObject* object = platform->server.objects().Get(kHeadObjectKey);
@@ -112,6 +150,8 @@
   CPPUNIT_TEST(RaceOnOneRecordHasOneWinner);
   CPPUNIT_TEST(QueueIsBounded);
   CPPUNIT_TEST(TimeLimitIncludesTheWait);
+  CPPUNIT_TEST(TimeLimitRunsFromTheCommit);
+  CPPUNIT_TEST(LateResultOfAnExpiredChangeSetIsIgnored);
   CPPUNIT_TEST(WaitsForTheBudget);
   CPPUNIT_TEST(DestructionDropsCallbacks);
   CPPUNIT_TEST_SUITE_END();
@@ -318,6 +358,54 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, platform.server.meter().get);
   }
 
+  // The same for a change set whose turn comes while some of its time is left.
+  void TimeLimitRunsFromTheCommit() {
+    Platform platform;
+    CommitterLimits limits = Node::FastLimits();
+    limits.time_limit = milliseconds(2000);
+    Node node(&platform, limits);
+    platform.server.faults().Set(
+        {FaultRule{FaultMode::kSlow, 0, std::chrono::minutes(10), "", {}}});
+    node.Start(Upsert("first", "s"));
+    bool later = false;
+    Timer pause(platform.base.get(), [&later] { later = true; });
+    pause.StartOnce(milliseconds(200));
+    RunUntil(platform.base.get(), [&later] { return later; });
+    const auto start = std::chrono::steady_clock::now();
+    node.Start(Upsert("second", "s"));
+    node.WaitFor(2);
+    // Counted from its turn, the limit would end after nearly twice the limit.
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < limits.time_limit * 8 / 5);
+  }
+
+  // Guards against a read result that reaches the acceptance of the next change set.
+  void LateResultOfAnExpiredChangeSetIsIgnored() {
+    Platform platform;
+    const auto inner = platform.NewStore(kTimeout);
+    HoldingStore store(inner.get());
+    CommitterLimits limits;
+    limits.time_limit = milliseconds(2000);
+    Committer committer(platform.base.get(), &store, limits);
+    std::vector<AcceptOutcome> outcomes;
+    const auto collect = [&](const AcceptOutcome& it, const Snapshot::Ptr&) {
+      outcomes.push_back(it);
+    };
+    store.hold_gets = true;
+    committer.Commit(Upsert("expired", "a"), Snapshot::Empty(), kSchema, collect);
+    RunUntil(platform.base.get(), [&outcomes] { return outcomes.size() == 1; });
+    CPPUNIT_ASSERT(outcomes[0].status == AcceptStatus::kUnknown);
+    store.hold_gets = false;
+    store.hold_puts = true;
+    committer.Commit(Upsert("next", "b"), Snapshot::Empty(), kSchema, collect);
+    RunUntil(platform.base.get(), [&store] { return store.held.size() == 2; });
+    store.hold_puts = false;
+    store.held[0]();  // the read of the first change set
+    store.held[1]();  // the write of the second one
+    RunUntil(platform.base.get(), [&outcomes] { return outcomes.size() == 2; });
+    CPPUNIT_ASSERT(outcomes[1].status == AcceptStatus::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, LoadedFrom(&platform)->record_count());
+  }
+
   // Guards against a large change set that can never be written because its pages exceed the burst
   // of the node's own budget.
   void WaitsForTheBudget() {
@@ -328,7 +416,8 @@
     budget.read_burst = 1;
     budget.write_burst = 2;
     budget.reads_per_second = 100;
-    budget.writes_per_second = 100;
+    // A token takes ten times the retry delay, longer than all attempts of one operation.
+    budget.writes_per_second = 20;
     BudgetedObjectStore store(platform.base.get(), inner.get(), budget);
     CommitterLimits limits = Node::FastLimits();
     limits.time_limit = kTestLimit;
--- a/src/libplatform/object_store_test.cc
+++ b/src/libplatform/object_store_test.cc
@@ -138,6 +138,7 @@
     constexpr int kRounds = 10;
     Platform platform;
     std::vector<std::unique_ptr<HttpObjectStore>> stores;
+    stores.reserve(kWriters);
     for (int i = 0; i < kWriters; ++i) stores.push_back(platform.NewStore(kTimeout));
     ObjectVersion version = 0;
     for (int round = 0; round < kRounds; ++round) {
--- a/src/libplatform/standin_test.cc
+++ b/src/libplatform/standin_test.cc
@@ -58,18 +58,18 @@
   }
 
   void FaultRulesAreChecked() {
-    const char* const kBroken[] = {"",
-                                   "{",
-                                   "7",
-                                   "{}",
-                                   R"({"mode":"odd"})",
-                                   R"({"mode":"down","count":-1})",
-                                   R"({"mode":"down","delay_ms":"x"})",
-                                   R"({"mode":"down","methods":"PUT"})",
-                                   R"({"mode":"down","key_prefix":1})",
-                                   R"([{"mode":"slow"},{"mode":"slow","typo":1}])"};
+    const char* const broken[] = {"",
+                                  "{",
+                                  "7",
+                                  "{}",
+                                  R"({"mode":"odd"})",
+                                  R"({"mode":"down","count":-1})",
+                                  R"({"mode":"down","delay_ms":"x"})",
+                                  R"({"mode":"down","methods":"PUT"})",
+                                  R"({"mode":"down","key_prefix":1})",
+                                  R"([{"mode":"slow"},{"mode":"slow","typo":1}])"};
     FaultRules rules;
-    for (const char* it : kBroken) {
+    for (const char* it : broken) {
       Findings findings;
       rules.Set(it, &findings);
       CPPUNIT_ASSERT_MESSAGE(it, !findings.empty());
@@ -132,21 +132,24 @@
     Platform platform;
     const auto store = platform.NewStore(kTimeout);
     platform.server.faults().Set({FaultRule{FaultMode::kSlow, 1, milliseconds(200), "", {"PUT"}}});
-    std::vector<std::error_code> results;
-    store->Watch("a", 0, kTestLimit, [&](const WatchResult& it) {
-      CPPUNIT_ASSERT(!it.changed);
-      results.push_back(it.error);
-    });
-    store->Put("b", "x", 0, [&](const PutResult& it) { results.push_back(it.error); });
+    std::vector<WatchResult> watches;
+    std::vector<PutResult> puts;
+    store->Watch("a", 0, kTestLimit, [&](WatchResult it) { watches.push_back(std::move(it)); });
+    store->Put("b", "x", 0, [&](const PutResult& it) { puts.push_back(it); });
     RunUntil(platform.base.get(), [&] {
       return platform.server.waiting_watches() == 1 && platform.server.meter().put == 1;
     });
     bool stopped = false;
-    platform.server.Stop([&stopped] { stopped = true; });
-    RunUntil(platform.base.get(), [&] { return stopped && results.size() == 2; });
-    CPPUNIT_ASSERT(!results[0]);
-    CPPUNIT_ASSERT(!results[1]);
-    CPPUNIT_ASSERT(platform.server.objects().Get("b") != nullptr);
+    bool applied = false;
+    platform.server.Stop([&] {
+      stopped = true;
+      applied = platform.server.objects().Get("b") != nullptr;
+    });
+    RunUntil(platform.base.get(), [&] { return stopped && watches.size() + puts.size() == 2; });
+    CPPUNIT_ASSERT_MESSAGE("stopped before the delayed write was applied", applied);
+    CPPUNIT_ASSERT(!watches.at(0).error);
+    CPPUNIT_ASSERT(!watches[0].changed);
+    CPPUNIT_ASSERT(!puts.at(0).error);
   }
 
  private:
