--- a/src/libmember/member_table.cc
+++ b/src/libmember/member_table.cc
@@ -171,10 +171,15 @@
   if (it == records_.end()) return false;
   MemberRecord& record = it->second;
   if (record.entry.incarnation != incarnation || version <= record.entry.version) return false;
-  Discount(record);
+  // Only the count of versions is touched: callers may be walking the live members.
+  if (IsLive(record.state)) {
+    auto& versions = data_centres_[record.entry.data_centre].versions;
+    const auto old = versions.find(record.entry.version);
+    if (--old->second == 0) versions.erase(old);
+    ++versions[version];
+  }
   record.entry.version = version;
   record.reported = now;
-  Account(record);
   return true;
 }
 
@@ -203,6 +208,12 @@
   return it->second.incarnation;
 }
 
+std::vector<MemberId> MemberTable::Tombstones() const {
+  std::vector<MemberId> ids;
+  for (const auto& [id, grave] : graves_) ids.push_back(id);
+  return ids;
+}
+
 std::optional<MemberUpdate> MemberTable::UpdateOf(const MemberId& id) const {
   MemberUpdate update;
   if (const MemberRecord* record = Find(id)) {
