Accept surges of connections in the caller server

At 10,000 requests/s against the stand-in on a busy machine (load average 25 on 10 cores), p99.9 was 1,040 ms: evhttp's listen backlog of 128 overflowed and the kernel retries a lost connection after 1 s.

Three tests are stricter, after mutations that survived: data beyond the Content-Length, malformed answer headers, HEAD answers without a body.

--- a/src/libcaller/caller_server.cc
+++ b/src/libcaller/caller_server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -167,11 +168,19 @@
 }
 
 std::error_code CallerServer::Listen(const NetAddress& address) {
-  errno = 0;
-  socket_ = evhttp_bind_socket_with_handle(http_.get(), address.ip().c_str(), address.port());
-  if (socket_ == nullptr) {
-    return std::error_code(errno == 0 ? EINVAL : errno, std::system_category());
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(address.port());
+  if (inet_pton(AF_INET, address.ip().c_str(), &name.sin_addr) != 1) {
+    return std::make_error_code(std::errc::invalid_argument);
   }
+  // evhttp's own listener has a backlog of 128.
+  constexpr unsigned kFlags = LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_CLOSE_ON_FREE;
+  evconnlistener* listener =
+      evconnlistener_new_bind(base_, nullptr, nullptr, kFlags, kListenBacklog,
+                              reinterpret_cast<const sockaddr*>(&name), sizeof(name));
+  if (listener == nullptr) return std::error_code(errno, std::system_category());
+  socket_ = evhttp_bind_listener(http_.get(), listener);
   address_ = NetAddress(address.ip(), BoundPort(socket_));
   return {};
 }
--- a/src/libcaller/caller_server.h
+++ b/src/libcaller/caller_server.h
@@ -32,6 +32,9 @@
   static constexpr size_t kHardHeadBytes = 64 << 10;
   /// Requests sent ahead on one connection wait in the kernel beyond this.
   static constexpr size_t kMaxReadAheadBytes = 16 << 10;
+  /// Connections waiting to be accepted. With 128, surges of new connections overflowed the queue,
+  /// and each connection lost waited 1 s for its next attempt.
+  static constexpr int kListenBacklog = 1024;
   /// A connection without a request, or with a request that stalls half-read, is closed after this.
   static constexpr std::chrono::seconds kIdleTimeout{60};
   /// A caller that takes no byte of a waiting answer for this long is abandoned.
--- a/src/libcaller/caller_test.cc
+++ b/src/libcaller/caller_test.cc
@@ -85,7 +85,8 @@
       client.Send(it.request);
       CallReply* reply = NextReply();
       reply->SendHead(it.status, it.headers);
-      reply->SendChunk("abc");
+      // The upstream sends no body in answer to HEAD, whatever its Content-Length says.
+      if (handler_->requests.back().method != "HEAD") reply->SendChunk("abc");
       reply->Finish();
       CPPUNIT_ASSERT(PumpUntil(base_.get(), [&] { return server_->open_requests() == 0; }));
       CPPUNIT_ASSERT(PumpUntil(base_.get(), [&] { return client.Contains("\r\n\r\n"); }));
@@ -157,15 +158,17 @@
 
   // Guards against the caller taking the next answer on the connection for the rest of this one.
   void AnswerNotOfItsLengthIsBroken() {
-    for (const char* body : {"abc", "abcdefgh"}) {
+    for (const char* more : {"", "de>beyond"}) {
       RawClient client(server_->address());
       client.Send(std::string(kGet) + kGet);
       CallReply* reply = NextReply();
       const size_t calls = handler_->requests.size();
       reply->SendHead(200, {{"Content-Length", "5"}});
-      reply->SendChunk(body);
+      reply->SendChunk("abc");
+      reply->SendChunk(more);
       reply->Finish();
       CPPUNIT_ASSERT(PumpUntil(base_.get(), [&] { return client.closed(); }));
+      CPPUNIT_ASSERT(!client.Contains(">"));
       CPPUNIT_ASSERT_EQUAL(calls, handler_->requests.size());
     }
   }
@@ -280,11 +283,13 @@
     reply->SendHead(200, {{"Transfer-Encoding", "gzip"},
                           {"Upgrade", "h2"},
                           {"X-Bad", "1\r\nX-Forged: 1"},
+                          {"X-Folded", "1\r\n 2"},
+                          {"X-No Token", "1"},
                           {"X-Kept", "3"}});
     reply->Finish();
     CPPUNIT_ASSERT(PumpUntil(base_.get(), [&] { return client.Contains("0\r\n\r\n"); }));
     CPPUNIT_ASSERT(client.Contains("X-Kept: 3"));
-    for (const char* it : {"gzip", "Upgrade", "X-Forged"}) {
+    for (const char* it : {"gzip", "Upgrade", "X-Forged", "X-Folded", "X-No"}) {
       CPPUNIT_ASSERT_MESSAGE(it, !client.Contains(it));
     }
   }
