--- a/src/libcaller/exchange.cc
+++ b/src/libcaller/exchange.cc
@@ -3,8 +3,10 @@
 #include <event2/http_struct.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <utility>
 
+#include "libbase/log.h"
 #include "libcaller/http_headers.h"
 
 namespace camphorhoist {
@@ -17,7 +19,9 @@
 void ResetConnection(bufferevent* bufev) {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  connect(bufferevent_getfd(bufev), &none, sizeof(none));
+  if (connect(bufferevent_getfd(bufev), &none, sizeof(none)) != 0) {
+    LogEvent(LogLevel::kWarn, "caller", "reset_failed").Add("errno", errno);
+  }
 }
 
 }  // namespace
--- a/src/libupstream/upstream_client_test.cc
+++ b/src/libupstream/upstream_client_test.cc
@@ -300,6 +300,16 @@
       CPPUNIT_ASSERT_EQUAL(accepts, cancelled);
       CPPUNIT_ASSERT_EQUAL(0, sink.ends);
     }
+    // A request that timed out may still be running.
+    RecordingSink late;
+    UpstreamRequest request = MakeRequest("GET");
+    request.timeout = milliseconds(50);
+    request.call_id = CallId(8, 9);
+    client_->Start(request, &late);
+    Wait(late);
+    PumpUntilStable(base_.get(), [&] { return server_->requests(); });
+    CPPUNIT_ASSERT(server_->AllReceived().find("POST /cancel?id=0000000000000008-") !=
+                   std::string::npos);
     // A request that was never sent needs no cancellation.
     RecordingSink sink;
     const size_t before = server_->requests();
--- a/src/libupstream/upstream_exchange.cc
+++ b/src/libupstream/upstream_exchange.cc
@@ -214,11 +214,12 @@
       (result == UpstreamResult::kWhole ||
        (result == UpstreamResult::kShed &&
         parser_.Next(bufferevent_get_input(bufev_.get())) == AnswerParser::Step::kWhole));
+  const std::string reason = std::move(detail);
   BuffereventPtr connection = std::move(bufev_);
   owner->Remove(handle_);
   if (reusable) owner->KeepIdle(std::move(connection));
   connection.reset();
-  sink->OnEnd(result, detail);
+  sink->OnEnd(result, reason);
 }
 
 }  // namespace camphorhoist
