--- a/src/camphorhoist_load/load_test.cc
+++ b/src/camphorhoist_load/load_test.cc
@@ -94,6 +94,11 @@
     // Five standard deviations of the Poisson counts.
     CPPUNIT_ASSERT(counts[0] > 9500 && counts[0] < 10500);
     CPPUNIT_ASSERT(counts[1] > 841 && counts[1] < 1159);
+    // No arrival of a step lies outside it, however long the last gap of the step before was.
+    ArrivalSchedule swings(std::vector<RateStep>(100, {20, 0.1}), 7);
+    while (const auto arrival = swings.Next()) {
+      CPPUNIT_ASSERT_EQUAL(arrival->step, static_cast<size_t>(arrival->at.count() / 100000));
+    }
     for (const char* it : {"1000", "x:1", "0:1", "10:0", "-1:1", "1:1x", "1:"}) {
       Findings faults;
       ParseSteps(it, "--steps", &faults);
--- a/src/libupstream/upstream_client_test.cc
+++ b/src/libupstream/upstream_client_test.cc
@@ -113,7 +113,7 @@
         {"HTTP/1.1 200 OK\r\n\r\nall up to the close", UpstreamResult::kNoWholeAnswer, ""},
     };
     for (const auto& it : cases) {
-      answer_ = [&it](RawServer::Connection& connection) {
+      answer_ = [this, &it](RawServer::Connection& connection) {
         connection.Write(it.answer);
         bufferevent_flush(connection.bufev.get(), EV_WRITE, BEV_FLUSH);
         shutdown_after_ = &connection;
@@ -339,8 +339,9 @@
     constexpr size_t kBodyBytes = 20 << 20;
     for (const bool chunked : {false, true}) {
       std::string body(kBodyBytes, 'x');
-      for (size_t i = 0; i < kBodyBytes; i += 4096)
+      for (size_t i = 0; i < kBodyBytes; i += 4096) {
         body[i] = static_cast<char>('a' + i / 4096 % 26);
+      }
       RawServer::Connection* connection = nullptr;
       answer_ = [&](RawServer::Connection& it) {
         connection = &it;
@@ -395,21 +396,19 @@
     Wait(sink);
     return sink.body;
   }
-  static void CloseWhenSent() {
+  void CloseWhenSent() {
     if (shutdown_after_ == nullptr || shutdown_after_->unsent() > 0) return;
     shutdown(bufferevent_getfd(shutdown_after_->bufev.get()), SHUT_WR);
     shutdown_after_ = nullptr;
   }
 
-  static RawServer::Connection* shutdown_after_;
+  RawServer::Connection* shutdown_after_ = nullptr;
   EventBasePtr base_;
   std::function<void(RawServer::Connection&)> answer_;
   std::unique_ptr<RawServer> server_;
   std::unique_ptr<UpstreamClient> client_;
 };
 
-RawServer::Connection* UpstreamClientTest::shutdown_after_ = nullptr;
-
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamClientTest);
 
 }  // namespace
