--- a/src/libcaller/caller_test.cc
+++ b/src/libcaller/caller_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(RemovesHopByHopHeaders);
   CPPUNIT_TEST(GracefulStopFinishesRequests);
   CPPUNIT_TEST(GracefulStopAnswersARequestThatHasArrived);
+  CPPUNIT_TEST(GracefulStopAnswersARequestSentAhead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -166,6 +167,7 @@
       reply->SendHead(200, {{"Content-Length", "5"}});
       reply->SendChunk("abc");
       reply->SendChunk(more);
+      PumpUntilStable(base_.get(), [&] { return client.Read().size(); });
       reply->Finish();
       CPPUNIT_ASSERT(PumpUntil(base_.get(), [&] { return client.closed(); }));
       CPPUNIT_ASSERT(!client.Contains(">"));
@@ -342,6 +344,21 @@
     CPPUNIT_ASSERT(client.Contains("Connection: close"));
   }
 
+  // Guards against closing a connection as idle while a request sent ahead on it waits.
+  void GracefulStopAnswersARequestSentAhead() {
+    RawClient client(server_->address());
+    client.Send(kGet);
+    CallReply* first = NextReply();
+    first->SendHead(200, {});
+    client.Send("GET /ahead HTTP/1.1\r\n\r\n");
+    PumpUntilStable(base_.get(), [&] { return client.Read().size(); });
+    server_->StopAccepting([] {});
+    first->Finish();
+    SendWholeReply(NextReply(), 200, {}, "second");
+    CPPUNIT_ASSERT(PumpUntil(base_.get(), [&] { return client.closed(); }));
+    CPPUNIT_ASSERT(client.Contains("second"));
+  }
+
  private:
   /// Waits for the next request and returns its reply.
   CallReply* NextReply() {
