--- a/src/libupstream/upstream_client_test.cc
+++ b/src/libupstream/upstream_client_test.cc
@@ -113,7 +113,7 @@
         {"HTTP/1.1 200 OK\r\n\r\nall up to the close", UpstreamResult::kNoWholeAnswer, ""},
     };
     for (const auto& it : cases) {
-      answer_ = [&it](RawServer::Connection& connection) {
+      answer_ = [this, &it](RawServer::Connection& connection) {
         connection.Write(it.answer);
         bufferevent_flush(connection.bufev.get(), EV_WRITE, BEV_FLUSH);
         shutdown_after_ = &connection;
@@ -300,6 +300,16 @@
       CPPUNIT_ASSERT_EQUAL(accepts, cancelled);
       CPPUNIT_ASSERT_EQUAL(0, sink.ends);
     }
+    // A request that timed out may still be running.
+    RecordingSink late;
+    UpstreamRequest request = MakeRequest("GET");
+    request.timeout = milliseconds(50);
+    request.call_id = CallId(8, 9);
+    client_->Start(request, &late);
+    Wait(late);
+    PumpUntilStable(base_.get(), [&] { return server_->requests(); });
+    CPPUNIT_ASSERT(server_->AllReceived().find("POST /cancel?id=0000000000000008-") !=
+                   std::string::npos);
     // A request that was never sent needs no cancellation.
     RecordingSink sink;
     const size_t before = server_->requests();
@@ -329,8 +339,9 @@
     constexpr size_t kBodyBytes = 20 << 20;
     for (const bool chunked : {false, true}) {
       std::string body(kBodyBytes, 'x');
-      for (size_t i = 0; i < kBodyBytes; i += 4096)
+      for (size_t i = 0; i < kBodyBytes; i += 4096) {
         body[i] = static_cast<char>('a' + i / 4096 % 26);
+      }
       RawServer::Connection* connection = nullptr;
       answer_ = [&](RawServer::Connection& it) {
         connection = &it;
@@ -385,21 +396,19 @@
     Wait(sink);
     return sink.body;
   }
-  static void CloseWhenSent() {
+  void CloseWhenSent() {
     if (shutdown_after_ == nullptr || shutdown_after_->unsent() > 0) return;
     shutdown(bufferevent_getfd(shutdown_after_->bufev.get()), SHUT_WR);
     shutdown_after_ = nullptr;
   }
 
-  static RawServer::Connection* shutdown_after_;
+  RawServer::Connection* shutdown_after_ = nullptr;
   EventBasePtr base_;
   std::function<void(RawServer::Connection&)> answer_;
   std::unique_ptr<RawServer> server_;
   std::unique_ptr<UpstreamClient> client_;
 };
 
-RawServer::Connection* UpstreamClientTest::shutdown_after_ = nullptr;
-
 CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamClientTest);
 
 }  // namespace
