--- a/src/camphorhoist_load/main.cc
+++ b/src/camphorhoist_load/main.cc
@@ -16,7 +16,7 @@
 #include "camphorhoist_load/settings.h"
 #include "libbase/event_ptr.h"
 #include "libbase/log.h"
-#include "libcaller/precise_event_base.h"
+#include "libbase/precise_event_base.h"
 
 namespace camphorhoist {
 namespace {
--- a/src/camphorhoistd/proxied_call.cc
+++ b/src/camphorhoistd/proxied_call.cc
@@ -38,7 +38,10 @@
   }
 
   void OnChunk(std::string data, std::function<void()> ready) override {
-    if (streaming_) return owner_->PassChunk(data, std::move(ready));
+    if (streaming_) {
+      owner_->PassChunk(data, std::move(ready));
+      return owner_->Carry(owner_->coordinator_.OnProgress(Now(), id_));
+    }
     // Not released: the peer stops at its window until this answer is chosen or dropped.
     pending_.emplace_back(std::move(data), std::move(ready));
   }
@@ -76,7 +79,7 @@
                                owner->HedgeOf(parts_.facts.service), owner->rng_,
                                [owner] { return owner->NextId(); }},
                    parts_.facts),
-      timer_(owner->base_, [this] { Carry(coordinator_.OnTimer(Now())); }) {}
+      timer_(owner->base_, [this] { OnTimer(); }) {}
 
 ProxiedCall::~ProxiedCall() {
   *alive_ = false;
@@ -115,6 +118,12 @@
   }
 }
 
+void ProxiedCall::OnTimer() {
+  // A caller that reads slowly holds the answer back; that is not a stalled upstream.
+  if (!held_.empty()) Carry(coordinator_.OnProgress(Now(), streamed_));
+  Carry(coordinator_.OnTimer(Now()));
+}
+
 void ProxiedCall::Send(const SendAttempt& send) {
   NodeCallRequest request;
   request.id = send.attempt;
@@ -159,7 +168,9 @@
 
 void ProxiedCall::Stream(const CallId& attempt) {
   const auto it = attempts_.find(attempt);
-  if (it != attempts_.end()) it->second->StartStreaming();
+  if (it == attempts_.end()) return;
+  streamed_ = attempt;
+  it->second->StartStreaming();
 }
 
 void ProxiedCall::SendHead(int status, HttpHeaders headers) {
--- a/src/camphorhoistd/proxied_call.h
+++ b/src/camphorhoistd/proxied_call.h
@@ -38,6 +38,7 @@
   class Attempt;
 
   void Carry(const CallEffects& effects);
+  void OnTimer();
   void Send(const SendAttempt& send);
   void Resolve(const ResolveAttempt& resolve);
   void Cancel(const CallId& attempt);
@@ -57,6 +58,8 @@
   CallCoordinator coordinator_;
   std::map<CallId, std::unique_ptr<Attempt>> attempts_;
   std::vector<std::function<void()>> held_;
+  /// The attempt whose answer is passed on.
+  CallId streamed_;
   size_t body_bytes_ = 0;
   bool ended_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/libmember/member.capnp.h
+++ b/src/libmember/member.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -38,9 +38,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(83529ec5e177eda7, 2, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -53,9 +53,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a4e013da71d0d5dc, 6, 4)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -68,9 +68,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(89f9b0d4e31c8266, 3, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -83,9 +83,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8caaf4f13a55d379, 3, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -98,9 +98,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e46df0d0228af3da, 1, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -113,24 +113,22 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8997d3cf70ffe02a, 7, 9)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class Endpoint::Reader {
-public:
+ public:
   typedef Endpoint Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -139,17 +137,17 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline ::capnp::Text::Reader getService() const;
 
-  inline  ::uint32_t getIp() const;
+  inline ::uint32_t getIp() const;
 
-  inline  ::uint16_t getPort() const;
+  inline ::uint16_t getPort() const;
 
-  inline  ::uint8_t getState() const;
+  inline ::uint8_t getState() const;
 
-  inline  ::uint32_t getSlots() const;
+  inline ::uint32_t getSlots() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -162,13 +160,13 @@
 };
 
 class Endpoint::Builder {
-public:
+ public:
   typedef Endpoint Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -178,25 +176,25 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
-  inline  ::uint32_t getIp();
-  inline void setIp( ::uint32_t value);
+  inline ::uint32_t getIp();
+  inline void setIp(::uint32_t value);
 
-  inline  ::uint16_t getPort();
-  inline void setPort( ::uint16_t value);
+  inline ::uint16_t getPort();
+  inline void setPort(::uint16_t value);
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+  inline ::uint8_t getState();
+  inline void setState(::uint8_t value);
 
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
+  inline ::uint32_t getSlots();
+  inline void setSlots(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -207,14 +205,14 @@
 
 #if !CAPNP_LITE
 class Endpoint::Pipeline {
-public:
+ public:
   typedef Endpoint Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -223,15 +221,13 @@
 #endif  // !CAPNP_LITE
 
 class Update::Reader {
-public:
+ public:
   typedef Update Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -239,41 +235,42 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getIp() const;
+  inline ::uint32_t getIp() const;
 
-  inline  ::uint16_t getPort() const;
+  inline ::uint16_t getPort() const;
 
-  inline  ::uint8_t getState() const;
+  inline ::uint8_t getState() const;
 
   inline bool getHasEntry() const;
 
   inline bool getDraining() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getSequence() const;
+  inline ::uint64_t getSequence() const;
 
-  inline  ::uint64_t getEpoch() const;
+  inline ::uint64_t getEpoch() const;
 
-  inline  ::uint64_t getNumber() const;
+  inline ::uint64_t getNumber() const;
 
-  inline  ::uint32_t getLowestSchema() const;
+  inline ::uint32_t getLowestSchema() const;
 
-  inline  ::uint32_t getHighestSchema() const;
+  inline ::uint32_t getHighestSchema() const;
 
   inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline ::capnp::Text::Reader getDataCentre() const;
 
   inline bool hasRegion() const;
-  inline  ::capnp::Text::Reader getRegion() const;
+  inline ::capnp::Text::Reader getRegion() const;
 
   inline bool hasRefusal() const;
-  inline  ::capnp::Text::Reader getRefusal() const;
+  inline ::capnp::Text::Reader getRefusal() const;
 
   inline bool hasEndpoints() const;
-  inline  ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+  inline ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>::Reader
+  getEndpoints() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -286,13 +283,13 @@
 };
 
 class Update::Builder {
-public:
+ public:
   typedef Update Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -301,14 +298,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getIp();
-  inline void setIp( ::uint32_t value);
+  inline ::uint32_t getIp();
+  inline void setIp(::uint32_t value);
 
-  inline  ::uint16_t getPort();
-  inline void setPort( ::uint16_t value);
+  inline ::uint16_t getPort();
+  inline void setPort(::uint16_t value);
 
-  inline  ::uint8_t getState();
-  inline void setState( ::uint8_t value);
+  inline ::uint8_t getState();
+  inline void setState(::uint8_t value);
 
   inline bool getHasEntry();
   inline void setHasEntry(bool value);
@@ -316,53 +313,60 @@
   inline bool getDraining();
   inline void setDraining(bool value);
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+  inline ::uint64_t getSequence();
+  inline void setSequence(::uint64_t value);
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline ::uint64_t getEpoch();
+  inline void setEpoch(::uint64_t value);
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline ::uint64_t getNumber();
+  inline void setNumber(::uint64_t value);
 
-  inline  ::uint32_t getLowestSchema();
-  inline void setLowestSchema( ::uint32_t value);
+  inline ::uint32_t getLowestSchema();
+  inline void setLowestSchema(::uint32_t value);
 
-  inline  ::uint32_t getHighestSchema();
-  inline void setHighestSchema( ::uint32_t value);
+  inline ::uint32_t getHighestSchema();
+  inline void setHighestSchema(::uint32_t value);
 
   inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
 
   inline bool hasRegion();
-  inline  ::capnp::Text::Builder getRegion();
-  inline void setRegion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRegion(unsigned int size);
-  inline void adoptRegion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRegion();
+  inline ::capnp::Text::Builder getRegion();
+  inline void setRegion(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRegion(unsigned int size);
+  inline void adoptRegion(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRegion();
 
   inline bool hasRefusal();
-  inline  ::capnp::Text::Builder getRefusal();
-  inline void setRefusal( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRefusal(unsigned int size);
-  inline void adoptRefusal(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRefusal();
+  inline ::capnp::Text::Builder getRefusal();
+  inline void setRefusal(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRefusal(unsigned int size);
+  inline void adoptRefusal(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRefusal();
 
   inline bool hasEndpoints();
-  inline  ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
-  inline void setEndpoints( ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
-  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>> disownEndpoints();
-
-private:
+  inline ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>::Builder
+  getEndpoints();
+  inline void setEndpoints(
+      ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>::Builder
+  initEndpoints(unsigned int size);
+  inline void adoptEndpoints(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>
+  disownEndpoints();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -373,14 +377,14 @@
 
 #if !CAPNP_LITE
 class Update::Pipeline {
-public:
+ public:
   typedef Update Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -389,15 +393,13 @@
 #endif  // !CAPNP_LITE
 
 class Key::Reader {
-public:
+ public:
   typedef Key Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -405,15 +407,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getIp() const;
+  inline ::uint32_t getIp() const;
 
-  inline  ::uint16_t getPort() const;
+  inline ::uint16_t getPort() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline ::uint64_t getIncarnation() const;
 
-  inline  ::uint64_t getSequence() const;
+  inline ::uint64_t getSequence() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -426,13 +428,13 @@
 };
 
 class Key::Builder {
-public:
+ public:
   typedef Key Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -441,19 +443,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getIp();
-  inline void setIp( ::uint32_t value);
+  inline ::uint32_t getIp();
+  inline void setIp(::uint32_t value);
 
-  inline  ::uint16_t getPort();
-  inline void setPort( ::uint16_t value);
+  inline ::uint16_t getPort();
+  inline void setPort(::uint16_t value);
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
+  inline ::uint64_t getSequence();
+  inline void setSequence(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -464,14 +466,14 @@
 
 #if !CAPNP_LITE
 class Key::Pipeline {
-public:
+ public:
   typedef Key Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -480,15 +482,13 @@
 #endif  // !CAPNP_LITE
 
 class VersionSet::Reader {
-public:
+ public:
   typedef VersionSet Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -497,18 +497,18 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline ::capnp::Text::Reader getDataCentre() const;
 
-  inline  ::uint64_t getEpoch() const;
+  inline ::uint64_t getEpoch() const;
 
-  inline  ::uint64_t getNumber() const;
+  inline ::uint64_t getNumber() const;
 
-  inline  ::uint64_t getRoster() const;
+  inline ::uint64_t getRoster() const;
 
   inline bool hasBits() const;
-  inline  ::capnp::Data::Reader getBits() const;
+  inline ::capnp::Data::Reader getBits() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -521,13 +521,13 @@
 };
 
 class VersionSet::Builder {
-public:
+ public:
   typedef VersionSet Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -537,29 +537,29 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline ::uint64_t getEpoch();
+  inline void setEpoch(::uint64_t value);
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline ::uint64_t getNumber();
+  inline void setNumber(::uint64_t value);
 
-  inline  ::uint64_t getRoster();
-  inline void setRoster( ::uint64_t value);
+  inline ::uint64_t getRoster();
+  inline void setRoster(::uint64_t value);
 
   inline bool hasBits();
-  inline  ::capnp::Data::Builder getBits();
-  inline void setBits( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBits(unsigned int size);
-  inline void adoptBits(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBits();
+  inline ::capnp::Data::Builder getBits();
+  inline void setBits(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initBits(unsigned int size);
+  inline void adoptBits(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownBits();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -570,14 +570,14 @@
 
 #if !CAPNP_LITE
 class VersionSet::Pipeline {
-public:
+ public:
   typedef VersionSet Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -586,15 +586,13 @@
 #endif  // !CAPNP_LITE
 
 class Age::Reader {
-public:
+ public:
   typedef Age Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -602,11 +600,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getDataCentre() const;
+  inline ::uint32_t getDataCentre() const;
 
-  inline  ::uint32_t getAgeMs() const;
+  inline ::uint32_t getAgeMs() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -619,13 +617,13 @@
 };
 
 class Age::Builder {
-public:
+ public:
   typedef Age Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -634,13 +632,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getDataCentre();
-  inline void setDataCentre( ::uint32_t value);
+  inline ::uint32_t getDataCentre();
+  inline void setDataCentre(::uint32_t value);
 
-  inline  ::uint32_t getAgeMs();
-  inline void setAgeMs( ::uint32_t value);
+  inline ::uint32_t getAgeMs();
+  inline void setAgeMs(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -651,14 +649,14 @@
 
 #if !CAPNP_LITE
 class Age::Pipeline {
-public:
+ public:
   typedef Age Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -667,15 +665,13 @@
 #endif  // !CAPNP_LITE
 
 class Message::Reader {
-public:
+ public:
   typedef Message Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -683,60 +679,64 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind() const;
+  inline ::uint8_t getKind() const;
 
   inline bool getPageEnd() const;
 
   inline bool getHasHeadAge() const;
 
-  inline  ::uint16_t getSenderPort() const;
+  inline ::uint16_t getSenderPort() const;
 
-  inline  ::uint32_t getSenderIp() const;
+  inline ::uint32_t getSenderIp() const;
 
-  inline  ::uint64_t getSenderIncarnation() const;
+  inline ::uint64_t getSenderIncarnation() const;
 
-  inline  ::uint64_t getEpoch() const;
+  inline ::uint64_t getEpoch() const;
 
-  inline  ::uint64_t getNumber() const;
+  inline ::uint64_t getNumber() const;
 
-  inline  ::uint32_t getHeadAgeMs() const;
+  inline ::uint32_t getHeadAgeMs() const;
 
-  inline  ::uint32_t getProbe() const;
+  inline ::uint32_t getProbe() const;
 
-  inline  ::uint32_t getTargetIp() const;
+  inline ::uint32_t getTargetIp() const;
 
-  inline  ::uint16_t getTargetPort() const;
+  inline ::uint16_t getTargetPort() const;
 
-  inline  ::uint32_t getBucketMask() const;
+  inline ::uint32_t getBucketMask() const;
 
   inline bool hasMesh() const;
-  inline  ::capnp::Text::Reader getMesh() const;
+  inline ::capnp::Text::Reader getMesh() const;
 
   inline bool hasSenderDataCentre() const;
-  inline  ::capnp::Text::Reader getSenderDataCentre() const;
+  inline ::capnp::Text::Reader getSenderDataCentre() const;
 
   inline bool hasHash() const;
-  inline  ::capnp::Data::Reader getHash() const;
+  inline ::capnp::Data::Reader getHash() const;
 
   inline bool hasAges() const;
-  inline  ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>::Reader getAges() const;
+  inline ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>::Reader getAges()
+      const;
 
   inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline ::capnp::Text::Reader getDataCentre() const;
 
   inline bool hasBuckets() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader getBuckets() const;
 
   inline bool hasKeys() const;
-  inline  ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>::Reader getKeys() const;
+  inline ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>::Reader getKeys()
+      const;
 
   inline bool hasUpdates() const;
-  inline  ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>::Reader getUpdates() const;
+  inline ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>::Reader
+  getUpdates() const;
 
   inline bool hasVersionSets() const;
-  inline  ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>::Reader getVersionSets() const;
+  inline ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>::Reader
+  getVersionSets() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -749,13 +749,13 @@
 };
 
 class Message::Builder {
-public:
+ public:
   typedef Message Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -764,8 +764,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
+  inline ::uint8_t getKind();
+  inline void setKind(::uint8_t value);
 
   inline bool getPageEnd();
   inline void setPageEnd(bool value);
@@ -773,101 +773,126 @@
   inline bool getHasHeadAge();
   inline void setHasHeadAge(bool value);
 
-  inline  ::uint16_t getSenderPort();
-  inline void setSenderPort( ::uint16_t value);
+  inline ::uint16_t getSenderPort();
+  inline void setSenderPort(::uint16_t value);
 
-  inline  ::uint32_t getSenderIp();
-  inline void setSenderIp( ::uint32_t value);
+  inline ::uint32_t getSenderIp();
+  inline void setSenderIp(::uint32_t value);
 
-  inline  ::uint64_t getSenderIncarnation();
-  inline void setSenderIncarnation( ::uint64_t value);
+  inline ::uint64_t getSenderIncarnation();
+  inline void setSenderIncarnation(::uint64_t value);
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline ::uint64_t getEpoch();
+  inline void setEpoch(::uint64_t value);
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline ::uint64_t getNumber();
+  inline void setNumber(::uint64_t value);
 
-  inline  ::uint32_t getHeadAgeMs();
-  inline void setHeadAgeMs( ::uint32_t value);
+  inline ::uint32_t getHeadAgeMs();
+  inline void setHeadAgeMs(::uint32_t value);
 
-  inline  ::uint32_t getProbe();
-  inline void setProbe( ::uint32_t value);
+  inline ::uint32_t getProbe();
+  inline void setProbe(::uint32_t value);
 
-  inline  ::uint32_t getTargetIp();
-  inline void setTargetIp( ::uint32_t value);
+  inline ::uint32_t getTargetIp();
+  inline void setTargetIp(::uint32_t value);
 
-  inline  ::uint16_t getTargetPort();
-  inline void setTargetPort( ::uint16_t value);
+  inline ::uint16_t getTargetPort();
+  inline void setTargetPort(::uint16_t value);
 
-  inline  ::uint32_t getBucketMask();
-  inline void setBucketMask( ::uint32_t value);
+  inline ::uint32_t getBucketMask();
+  inline void setBucketMask(::uint32_t value);
 
   inline bool hasMesh();
-  inline  ::capnp::Text::Builder getMesh();
-  inline void setMesh( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMesh(unsigned int size);
-  inline void adoptMesh(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMesh();
+  inline ::capnp::Text::Builder getMesh();
+  inline void setMesh(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initMesh(unsigned int size);
+  inline void adoptMesh(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownMesh();
 
   inline bool hasSenderDataCentre();
-  inline  ::capnp::Text::Builder getSenderDataCentre();
-  inline void setSenderDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSenderDataCentre(unsigned int size);
-  inline void adoptSenderDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSenderDataCentre();
+  inline ::capnp::Text::Builder getSenderDataCentre();
+  inline void setSenderDataCentre(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initSenderDataCentre(unsigned int size);
+  inline void adoptSenderDataCentre(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownSenderDataCentre();
 
   inline bool hasHash();
-  inline  ::capnp::Data::Builder getHash();
-  inline void setHash( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initHash(unsigned int size);
-  inline void adoptHash(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownHash();
+  inline ::capnp::Data::Builder getHash();
+  inline void setHash(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initHash(unsigned int size);
+  inline void adoptHash(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownHash();
 
   inline bool hasAges();
-  inline  ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>::Builder getAges();
-  inline void setAges( ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>::Builder initAges(unsigned int size);
-  inline void adoptAges(::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>> disownAges();
+  inline ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>::Builder getAges();
+  inline void setAges(
+      ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>::Builder initAges(
+      unsigned int size);
+  inline void adoptAges(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>
+  disownAges();
 
   inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
 
   inline bool hasBuckets();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
-  inline void setBuckets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setBuckets(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBuckets(unsigned int size);
-  inline void adoptBuckets(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBuckets();
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder getBuckets();
+  inline void setBuckets(::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBuckets(::kj::ArrayPtr<const ::uint64_t> value);
+  inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder initBuckets(
+      unsigned int size);
+  inline void adoptBuckets(
+      ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>> disownBuckets();
 
   inline bool hasKeys();
-  inline  ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>::Builder getKeys();
-  inline void setKeys( ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>::Builder initKeys(unsigned int size);
-  inline void adoptKeys(::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>> disownKeys();
+  inline ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>::Builder getKeys();
+  inline void setKeys(
+      ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>::Builder initKeys(
+      unsigned int size);
+  inline void adoptKeys(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>
+  disownKeys();
 
   inline bool hasUpdates();
-  inline  ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>::Builder getUpdates();
-  inline void setUpdates( ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>::Builder initUpdates(unsigned int size);
-  inline void adoptUpdates(::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>> disownUpdates();
+  inline ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>::Builder
+  getUpdates();
+  inline void setUpdates(
+      ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>::Builder
+  initUpdates(unsigned int size);
+  inline void adoptUpdates(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>
+  disownUpdates();
 
   inline bool hasVersionSets();
-  inline  ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>::Builder getVersionSets();
-  inline void setVersionSets( ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>::Builder initVersionSets(unsigned int size);
-  inline void adoptVersionSets(::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>> disownVersionSets();
-
-private:
+  inline ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>::Builder
+  getVersionSets();
+  inline void setVersionSets(
+      ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>::Builder
+  initVersionSets(unsigned int size);
+  inline void adoptVersionSets(
+      ::capnp::Orphan<
+          ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<
+      ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>
+  disownVersionSets();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -878,14 +903,14 @@
 
 #if !CAPNP_LITE
 class Message::Pipeline {
-public:
+ public:
   typedef Message Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -896,1073 +921,984 @@
 // =======================================================================================
 
 inline bool Endpoint::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Endpoint::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Endpoint::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Endpoint::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Endpoint::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Endpoint::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Endpoint::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Endpoint::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Endpoint::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Endpoint::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Endpoint::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Endpoint::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Endpoint::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Endpoint::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Endpoint::Reader::getIp() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Endpoint::Reader::getIp() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Endpoint::Builder::getIp() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Endpoint::Builder::getIp() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Endpoint::Builder::setIp( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Endpoint::Builder::setIp(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Endpoint::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Endpoint::Reader::getPort() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Endpoint::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Endpoint::Builder::getPort() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Endpoint::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Endpoint::Builder::setPort(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Endpoint::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint8_t Endpoint::Reader::getState() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Endpoint::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint8_t Endpoint::Builder::getState() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Endpoint::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Endpoint::Builder::setState(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Endpoint::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Endpoint::Reader::getSlots() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Endpoint::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Endpoint::Builder::getSlots() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Endpoint::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Endpoint::Builder::setSlots(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Update::Reader::getIp() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Update::Reader::getIp() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Update::Builder::getIp() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Update::Builder::getIp() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setIp( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setIp(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Update::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Update::Reader::getPort() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Update::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Update::Builder::getPort() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setPort(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Update::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint8_t Update::Reader::getState() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Update::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint8_t Update::Builder::getState() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setState(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Update::Reader::getHasEntry() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<56>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<56>() * ::capnp::ELEMENTS);
 }
 
 inline bool Update::Builder::getHasEntry() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<56>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<56>() * ::capnp::ELEMENTS);
 }
 inline void Update::Builder::setHasEntry(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<56>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<56>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Update::Reader::getDraining() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<57>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<57>() * ::capnp::ELEMENTS);
 }
 
 inline bool Update::Builder::getDraining() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<57>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<57>() * ::capnp::ELEMENTS);
 }
 inline void Update::Builder::setDraining(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<57>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<57>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Update::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Reader::getIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Update::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Builder::getIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Update::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Reader::getSequence() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Update::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Builder::getSequence() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setSequence(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Update::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Reader::getEpoch() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Update::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Builder::getEpoch() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setEpoch(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Update::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Reader::getNumber() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Update::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint64_t Update::Builder::getNumber() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setNumber(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Update::Reader::getLowestSchema() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline ::uint32_t Update::Reader::getLowestSchema() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Update::Builder::getLowestSchema() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline ::uint32_t Update::Builder::getLowestSchema() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setLowestSchema( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setLowestSchema(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Update::Reader::getHighestSchema() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline ::uint32_t Update::Reader::getHighestSchema() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Update::Builder::getHighestSchema() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS);
+inline ::uint32_t Update::Builder::getHighestSchema() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<11>() * ::capnp::ELEMENTS);
 }
-inline void Update::Builder::setHighestSchema( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
+inline void Update::Builder::setHighestSchema(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<11>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Update::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Update::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Update::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Update::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Update::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Update::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Update::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Update::Builder::setDataCentre(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Update::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Update::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Update::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Update::Builder::adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Update::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Update::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Update::Reader::hasRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Update::Builder::hasRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Update::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Update::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Update::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Update::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Update::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Update::Builder::setRegion(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Update::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Update::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Update::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Update::Builder::adoptRegion(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Update::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Update::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Update::Reader::hasRefusal() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Update::Builder::hasRefusal() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Update::Reader::getRefusal() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Update::Reader::getRefusal() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Update::Builder::getRefusal() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Update::Builder::getRefusal() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Update::Builder::setRefusal( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Update::Builder::setRefusal(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Update::Builder::initRefusal(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Update::Builder::initRefusal(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Update::Builder::adoptRefusal(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Update::Builder::adoptRefusal(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Update::Builder::disownRefusal() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Update::Builder::disownRefusal() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Update::Reader::hasEndpoints() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Update::Builder::hasEndpoints() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>::Reader Update::Reader::getEndpoints() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>::Builder Update::Builder::getEndpoints() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Update::Builder::setEndpoints( ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>::Builder Update::Builder::initEndpoints(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>::Reader
+Update::Reader::getEndpoints() const {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>::Builder
+Update::Builder::getEndpoints() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Update::Builder::setEndpoints(
+    ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>::Builder
+Update::Builder::initEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Update::Builder::adoptEndpoints(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>> Update::Builder::disownEndpoints() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Endpoint,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>
+Update::Builder::disownEndpoints() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Endpoint, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Key::Reader::getIp() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Key::Reader::getIp() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Key::Builder::getIp() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Key::Builder::getIp() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Key::Builder::setIp( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Key::Builder::setIp(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Key::Reader::getPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Key::Reader::getPort() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Key::Builder::getPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Key::Builder::getPort() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Key::Builder::setPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Key::Builder::setPort(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Key::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Key::Reader::getIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Key::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Key::Builder::getIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Key::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Key::Builder::setIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Key::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Key::Reader::getSequence() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Key::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Key::Builder::getSequence() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Key::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Key::Builder::setSequence(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool VersionSet::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool VersionSet::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader VersionSet::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader VersionSet::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder VersionSet::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder VersionSet::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void VersionSet::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void VersionSet::Builder::setDataCentre(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder VersionSet::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder VersionSet::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void VersionSet::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void VersionSet::Builder::adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> VersionSet::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> VersionSet::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t VersionSet::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t VersionSet::Reader::getEpoch() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t VersionSet::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t VersionSet::Builder::getEpoch() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void VersionSet::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void VersionSet::Builder::setEpoch(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t VersionSet::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t VersionSet::Reader::getNumber() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t VersionSet::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t VersionSet::Builder::getNumber() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void VersionSet::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void VersionSet::Builder::setNumber(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t VersionSet::Reader::getRoster() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t VersionSet::Reader::getRoster() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t VersionSet::Builder::getRoster() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t VersionSet::Builder::getRoster() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void VersionSet::Builder::setRoster( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void VersionSet::Builder::setRoster(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool VersionSet::Reader::hasBits() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool VersionSet::Builder::hasBits() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader VersionSet::Reader::getBits() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader VersionSet::Reader::getBits() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder VersionSet::Builder::getBits() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder VersionSet::Builder::getBits() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void VersionSet::Builder::setBits( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void VersionSet::Builder::setBits(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder VersionSet::Builder::initBits(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder VersionSet::Builder::initBits(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void VersionSet::Builder::adoptBits(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void VersionSet::Builder::adoptBits(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> VersionSet::Builder::disownBits() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> VersionSet::Builder::disownBits() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Age::Reader::getDataCentre() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Age::Reader::getDataCentre() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Age::Builder::getDataCentre() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Age::Builder::getDataCentre() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Age::Builder::setDataCentre( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Age::Builder::setDataCentre(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Age::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Age::Reader::getAgeMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Age::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Age::Builder::getAgeMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Age::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Age::Builder::setAgeMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Message::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t Message::Reader::getKind() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Message::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t Message::Builder::getKind() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setKind(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Message::Reader::getPageEnd() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
 inline bool Message::Builder::getPageEnd() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 inline void Message::Builder::setPageEnd(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Message::Reader::getHasHeadAge() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
 inline bool Message::Builder::getHasHeadAge() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 inline void Message::Builder::setHasHeadAge(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Message::Reader::getSenderPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint16_t Message::Reader::getSenderPort() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Message::Builder::getSenderPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint16_t Message::Builder::getSenderPort() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setSenderPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setSenderPort(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Message::Reader::getSenderIp() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Reader::getSenderIp() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Message::Builder::getSenderIp() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Builder::getSenderIp() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setSenderIp( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setSenderIp(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Message::Reader::getSenderIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Reader::getSenderIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Message::Builder::getSenderIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Builder::getSenderIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setSenderIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setSenderIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Message::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Reader::getEpoch() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Message::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Builder::getEpoch() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setEpoch(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Message::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Reader::getNumber() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Message::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint64_t Message::Builder::getNumber() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setNumber(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Message::Reader::getHeadAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Reader::getHeadAgeMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Message::Builder::getHeadAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Builder::getHeadAgeMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setHeadAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setHeadAgeMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Message::Reader::getProbe() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Reader::getProbe() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Message::Builder::getProbe() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Builder::getProbe() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setProbe( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setProbe(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Message::Reader::getTargetIp() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Reader::getTargetIp() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Message::Builder::getTargetIp() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Builder::getTargetIp() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setTargetIp( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setTargetIp(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Message::Reader::getTargetPort() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+inline ::uint16_t Message::Reader::getTargetPort() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<22>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Message::Builder::getTargetPort() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<22>() * ::capnp::ELEMENTS);
+inline ::uint16_t Message::Builder::getTargetPort() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<22>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setTargetPort( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setTargetPort(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<22>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Message::Reader::getBucketMask() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Reader::getBucketMask() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Message::Builder::getBucketMask() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::uint32_t Message::Builder::getBucketMask() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void Message::Builder::setBucketMask( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline void Message::Builder::setBucketMask(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Message::Reader::hasMesh() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasMesh() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Message::Reader::getMesh() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Message::Reader::getMesh() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Message::Builder::getMesh() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Message::Builder::getMesh() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setMesh( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setMesh(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Message::Builder::initMesh(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Message::Builder::initMesh(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Message::Builder::adoptMesh(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Message::Builder::adoptMesh(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Message::Builder::disownMesh() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Message::Builder::disownMesh() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasSenderDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasSenderDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Message::Reader::getSenderDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Message::Reader::getSenderDataCentre() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Message::Builder::getSenderDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Message::Builder::getSenderDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setSenderDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setSenderDataCentre(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Message::Builder::initSenderDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Message::Builder::initSenderDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Message::Builder::adoptSenderDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Message::Builder::adoptSenderDataCentre(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Message::Builder::disownSenderDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Message::Builder::disownSenderDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasHash() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasHash() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Message::Reader::getHash() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader Message::Reader::getHash() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Message::Builder::getHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder Message::Builder::getHash() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setHash( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setHash(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Message::Builder::initHash(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder Message::Builder::initHash(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Message::Builder::adoptHash(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Message::Builder::adoptHash(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Message::Builder::disownHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> Message::Builder::disownHash() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasAges() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasAges() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getAges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getAges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setAges( ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initAges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getAges() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getAges() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setAges(
+    ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initAges(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void Message::Builder::adoptAges(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>::adopt(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>> Message::Builder::disownAges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Age,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>
+Message::Builder::disownAges() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Age, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Message::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Message::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Message::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Message::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setDataCentre(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Message::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Message::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Message::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void Message::Builder::adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Message::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Message::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasBuckets() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasBuckets() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Message::Reader::getBuckets() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader Message::Reader::getBuckets()
+    const {
+  return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::getBuckets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::getBuckets() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::get(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Message::Builder::setBuckets( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setBuckets(
+    ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void Message::Builder::setBuckets(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void Message::Builder::setBuckets(::kj::ArrayPtr<const ::uint64_t> value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::set(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::initBuckets(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline ::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::initBuckets(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::init(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void Message::Builder::adoptBuckets(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::adopt(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Message::Builder::disownBuckets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>
+Message::Builder::disownBuckets() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::uint64_t, ::capnp::Kind::PRIMITIVE>>::disown(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasKeys() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasKeys() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getKeys() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getKeys() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setKeys( ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initKeys(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getKeys() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getKeys() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setKeys(
+    ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initKeys(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void Message::Builder::adoptKeys(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>::adopt(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>> Message::Builder::disownKeys() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Key,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>
+Message::Builder::disownKeys() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Key, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasUpdates() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasUpdates() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getUpdates() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setUpdates( ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initUpdates(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getUpdates() const {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getUpdates() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setUpdates(
+    ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initUpdates(unsigned int size) {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
 inline void Message::Builder::adoptUpdates(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>> Message::Builder::disownUpdates() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::Update,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>
+Message::Builder::disownUpdates() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::Update, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
 inline bool Message::Reader::hasVersionSets() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
 }
 inline bool Message::Builder::hasVersionSets() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getVersionSets() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getVersionSets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
-}
-inline void Message::Builder::setVersionSets( ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initVersionSets(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>::Reader
+Message::Reader::getVersionSets() const {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>::
+      get(_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::getVersionSets() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>::
+      get(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setVersionSets(
+    ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>::Builder
+Message::Builder::initVersionSets(unsigned int size) {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>::
+      init(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), size);
 }
 inline void Message::Builder::adoptVersionSets(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>> Message::Builder::disownVersionSets() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::member_wire::VersionSet,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<
+    ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>
+Message::Builder::disownVersionSets() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::member_wire::VersionSet, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
+}  // namespace member_wire
+}  // namespace camphorhoist
 
 CAPNP_END_HEADER
-
--- a/src/libnode/event_loop.cc
+++ b/src/libnode/event_loop.cc
@@ -11,6 +11,8 @@
 
 #include <utility>
 
+#include "libbase/precise_event_base.h"
+
 namespace camphorhoist {
 
 namespace {
@@ -30,7 +32,7 @@
 }
 
 EventLoop::EventLoop()
-    : base_(event_base_new()), port_(base_.get()), loop_(port_), wait_scope_(loop_) {
+    : base_(NewPreciseEventBase()), port_(base_.get()), loop_(port_), wait_scope_(loop_) {
   signal(SIGPIPE, SIG_IGN);
 }
 
