--- a/src/libnode/node.capnp.h
+++ b/src/libnode/node.capnp.h
@@ -10,10 +10,10 @@
 #endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -24,7 +24,7 @@
 CAPNP_DECLARE_SCHEMA(fb403e14d5b95815);
 CAPNP_DECLARE_SCHEMA(c8b26903d75e4885);
 CAPNP_DECLARE_SCHEMA(860d0d5d6f2c874a);
-enum class Outcome_860d0d5d6f2c874a: uint16_t {
+enum class Outcome_860d0d5d6f2c874a : uint16_t {
   ANSWERED,
   NOT_RUN,
   UNKNOWN,
@@ -40,7 +40,7 @@
 CAPNP_DECLARE_SCHEMA(98836c64c5b28c74);
 CAPNP_DECLARE_SCHEMA(b28e29a1dccea50e);
 CAPNP_DECLARE_SCHEMA(d5ac030aba849bbd);
-enum class CallState_d5ac030aba849bbd: uint16_t {
+enum class CallState_d5ac030aba849bbd : uint16_t {
   VOIDED,
   STARTED,
   FINISHED,
@@ -75,9 +75,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cbf51ea4e87495e4, 2, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -90,9 +90,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a1a1890563f3de4d, 2, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -105,9 +105,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fb403e14d5b95815, 0, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -120,9 +120,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c8b26903d75e4885, 3, 7)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -137,9 +137,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b5d1439c77d1941e, 4, 3)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -157,12 +157,12 @@
   struct EndParams;
   struct EndResults;
 
-  #if !CAPNP_LITE
+#if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(821c239af9d020a9)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-  #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 };
 
 struct AnswerSink::HeadParams {
@@ -174,9 +174,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b3e058b22cfa636d, 1, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -189,9 +189,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(dc2b8118849698b9, 0, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -204,9 +204,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cf826715d12e1d60, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -219,9 +219,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(be518889fec452a8, 0, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -234,9 +234,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(96b754425f944901, 0, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -249,9 +249,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(98836c64c5b28c74, 1, 3)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -278,12 +278,12 @@
   struct FloorParams;
   struct FloorResults;
 
-  #if !CAPNP_LITE
+#if !CAPNP_LITE
   struct _capnpPrivate {
     CAPNP_DECLARE_INTERFACE_HEADER(b28e29a1dccea50e)
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
   };
-  #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 };
 
 struct Node::HelloParams {
@@ -295,9 +295,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d825159116da8806, 1, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -310,9 +310,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c904beafa75743ef, 1, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -325,9 +325,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8769724a4f830388, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -340,9 +340,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8b57db2aced82d90, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -355,9 +355,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(83d4ed81f7f33522, 0, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -370,9 +370,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f794cc951e20f8f8, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -385,9 +385,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d85746bfb5b4743a, 1, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -400,9 +400,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(89339dc5e31133b9, 1, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -415,9 +415,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(bc17e0e970d07146, 0, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -430,9 +430,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8011d33c4e1d4743, 1, 3)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -445,9 +445,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c65c07f6d1b7038a, 0, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -460,24 +460,22 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(efeb3473027ae7c5, 0, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class Version::Reader {
-public:
+ public:
   typedef Version Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -485,11 +483,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEpoch() const;
+  inline ::uint64_t getEpoch() const;
 
-  inline  ::uint64_t getNumber() const;
+  inline ::uint64_t getNumber() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -502,13 +500,13 @@
 };
 
 class Version::Builder {
-public:
+ public:
   typedef Version Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -517,13 +515,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline ::uint64_t getEpoch();
+  inline void setEpoch(::uint64_t value);
 
-  inline  ::uint64_t getNumber();
-  inline void setNumber( ::uint64_t value);
+  inline ::uint64_t getNumber();
+  inline void setNumber(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -534,14 +532,14 @@
 
 #if !CAPNP_LITE
 class Version::Pipeline {
-public:
+ public:
   typedef Version Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -550,15 +548,13 @@
 #endif  // !CAPNP_LITE
 
 class CallId::Reader {
-public:
+ public:
   typedef CallId Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -566,11 +562,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getOrigin() const;
+  inline ::uint64_t getOrigin() const;
 
-  inline  ::uint64_t getCounter() const;
+  inline ::uint64_t getCounter() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -583,13 +579,13 @@
 };
 
 class CallId::Builder {
-public:
+ public:
   typedef CallId Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -598,13 +594,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getOrigin();
-  inline void setOrigin( ::uint64_t value);
+  inline ::uint64_t getOrigin();
+  inline void setOrigin(::uint64_t value);
 
-  inline  ::uint64_t getCounter();
-  inline void setCounter( ::uint64_t value);
+  inline ::uint64_t getCounter();
+  inline void setCounter(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -615,14 +611,14 @@
 
 #if !CAPNP_LITE
 class CallId::Pipeline {
-public:
+ public:
   typedef CallId Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -631,15 +627,13 @@
 #endif  // !CAPNP_LITE
 
 class Header::Reader {
-public:
+ public:
   typedef Header Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -648,12 +642,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline ::capnp::Text::Reader getName() const;
 
   inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline ::capnp::Text::Reader getValue() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -666,13 +660,13 @@
 };
 
 class Header::Builder {
-public:
+ public:
   typedef Header Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -682,20 +676,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline ::capnp::Text::Builder getName();
+  inline void setName(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownName();
 
   inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+  inline ::capnp::Text::Builder getValue();
+  inline void setValue(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownValue();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -706,14 +700,14 @@
 
 #if !CAPNP_LITE
 class Header::Pipeline {
-public:
+ public:
   typedef Header Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -722,15 +716,13 @@
 #endif  // !CAPNP_LITE
 
 class CallRequest::Reader {
-public:
+ public:
   typedef CallRequest Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -739,39 +731,40 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::camphorhoist::rpc::CallId::Reader getId() const;
+  inline ::camphorhoist::rpc::CallId::Reader getId() const;
 
-  inline  ::uint64_t getTargetIncarnation() const;
+  inline ::uint64_t getTargetIncarnation() const;
 
   inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline ::capnp::Text::Reader getService() const;
 
   inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+  inline ::capnp::Text::Reader getEndpoint() const;
 
   inline bool hasMethod() const;
-  inline  ::capnp::Text::Reader getMethod() const;
+  inline ::capnp::Text::Reader getMethod() const;
 
   inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline ::capnp::Text::Reader getTarget() const;
 
   inline bool hasHeaders() const;
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+      const;
 
   inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline ::capnp::Data::Reader getBody() const;
 
-  inline  ::uint32_t getTimeoutMs() const;
+  inline ::uint32_t getTimeoutMs() const;
 
-  inline  ::uint32_t getMaxQueueMs() const;
+  inline ::uint32_t getMaxQueueMs() const;
 
   inline bool getLongWork() const;
 
   inline bool getIdempotent() const;
 
-  inline  ::uint32_t getDepth() const;
+  inline ::uint32_t getDepth() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -784,13 +777,13 @@
 };
 
 class CallRequest::Builder {
-public:
+ public:
   typedef CallRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -800,62 +793,66 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline  ::camphorhoist::rpc::CallId::Builder getId();
-  inline void setId( ::camphorhoist::rpc::CallId::Reader value);
-  inline  ::camphorhoist::rpc::CallId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::camphorhoist::rpc::CallId>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::CallId> disownId();
+  inline ::camphorhoist::rpc::CallId::Builder getId();
+  inline void setId(::camphorhoist::rpc::CallId::Reader value);
+  inline ::camphorhoist::rpc::CallId::Builder initId();
+  inline void adoptId(::capnp::Orphan<::camphorhoist::rpc::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::CallId> disownId();
 
-  inline  ::uint64_t getTargetIncarnation();
-  inline void setTargetIncarnation( ::uint64_t value);
+  inline ::uint64_t getTargetIncarnation();
+  inline void setTargetIncarnation(::uint64_t value);
 
   inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
   inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+  inline ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownEndpoint();
 
   inline bool hasMethod();
-  inline  ::capnp::Text::Builder getMethod();
-  inline void setMethod( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+  inline ::capnp::Text::Builder getMethod();
+  inline void setMethod(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownMethod();
 
   inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline ::capnp::Text::Builder getTarget();
+  inline void setTarget(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownTarget();
 
   inline bool hasHeaders();
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
+      unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
 
   inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline ::capnp::Data::Builder getBody();
+  inline void setBody(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownBody();
 
-  inline  ::uint32_t getTimeoutMs();
-  inline void setTimeoutMs( ::uint32_t value);
+  inline ::uint32_t getTimeoutMs();
+  inline void setTimeoutMs(::uint32_t value);
 
-  inline  ::uint32_t getMaxQueueMs();
-  inline void setMaxQueueMs( ::uint32_t value);
+  inline ::uint32_t getMaxQueueMs();
+  inline void setMaxQueueMs(::uint32_t value);
 
   inline bool getLongWork();
   inline void setLongWork(bool value);
@@ -863,10 +860,10 @@
   inline bool getIdempotent();
   inline void setIdempotent(bool value);
 
-  inline  ::uint32_t getDepth();
-  inline void setDepth( ::uint32_t value);
+  inline ::uint32_t getDepth();
+  inline void setDepth(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -877,15 +874,16 @@
 
 #if !CAPNP_LITE
 class CallRequest::Pipeline {
-public:
+ public:
   typedef CallRequest Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::rpc::CallId::Pipeline getId();
-private:
+  inline ::camphorhoist::rpc::CallId::Pipeline getId();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -894,15 +892,13 @@
 #endif  // !CAPNP_LITE
 
 class CallResult::Reader {
-public:
+ public:
   typedef CallResult Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -910,32 +906,33 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::camphorhoist::rpc::Outcome getOutcome() const;
+  inline ::camphorhoist::rpc::Outcome getOutcome() const;
 
   inline bool hasReason() const;
-  inline  ::capnp::Text::Reader getReason() const;
+  inline ::capnp::Text::Reader getReason() const;
 
-  inline  ::uint32_t getQueueLength() const;
+  inline ::uint32_t getQueueLength() const;
 
-  inline  ::uint32_t getRunning() const;
+  inline ::uint32_t getRunning() const;
 
-  inline  ::uint32_t getLimit() const;
+  inline ::uint32_t getLimit() const;
 
-  inline  ::uint32_t getQueueMicros() const;
+  inline ::uint32_t getQueueMicros() const;
 
-  inline  ::uint32_t getServiceMicros() const;
+  inline ::uint32_t getServiceMicros() const;
 
   inline bool getInlineAnswer() const;
 
-  inline  ::uint16_t getStatus() const;
+  inline ::uint16_t getStatus() const;
 
   inline bool hasHeaders() const;
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+      const;
 
   inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline ::capnp::Data::Reader getBody() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -948,13 +945,13 @@
 };
 
 class CallResult::Builder {
-public:
+ public:
   typedef CallResult Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -963,52 +960,56 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::camphorhoist::rpc::Outcome getOutcome();
-  inline void setOutcome( ::camphorhoist::rpc::Outcome value);
+  inline ::camphorhoist::rpc::Outcome getOutcome();
+  inline void setOutcome(::camphorhoist::rpc::Outcome value);
 
   inline bool hasReason();
-  inline  ::capnp::Text::Builder getReason();
-  inline void setReason( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initReason(unsigned int size);
-  inline void adoptReason(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownReason();
+  inline ::capnp::Text::Builder getReason();
+  inline void setReason(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initReason(unsigned int size);
+  inline void adoptReason(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownReason();
 
-  inline  ::uint32_t getQueueLength();
-  inline void setQueueLength( ::uint32_t value);
+  inline ::uint32_t getQueueLength();
+  inline void setQueueLength(::uint32_t value);
 
-  inline  ::uint32_t getRunning();
-  inline void setRunning( ::uint32_t value);
+  inline ::uint32_t getRunning();
+  inline void setRunning(::uint32_t value);
 
-  inline  ::uint32_t getLimit();
-  inline void setLimit( ::uint32_t value);
+  inline ::uint32_t getLimit();
+  inline void setLimit(::uint32_t value);
 
-  inline  ::uint32_t getQueueMicros();
-  inline void setQueueMicros( ::uint32_t value);
+  inline ::uint32_t getQueueMicros();
+  inline void setQueueMicros(::uint32_t value);
 
-  inline  ::uint32_t getServiceMicros();
-  inline void setServiceMicros( ::uint32_t value);
+  inline ::uint32_t getServiceMicros();
+  inline void setServiceMicros(::uint32_t value);
 
   inline bool getInlineAnswer();
   inline void setInlineAnswer(bool value);
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+  inline ::uint16_t getStatus();
+  inline void setStatus(::uint16_t value);
 
   inline bool hasHeaders();
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
+      unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
 
   inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline ::capnp::Data::Builder getBody();
+  inline void setBody(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownBody();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1019,14 +1020,14 @@
 
 #if !CAPNP_LITE
 class CallResult::Pipeline {
-public:
+ public:
   typedef CallResult Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1035,17 +1036,16 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class AnswerSink::Client
-    : public virtual ::capnp::Capability::Client {
-public:
+class AnswerSink::Client : public virtual ::capnp::Capability::Client {
+ public:
   typedef AnswerSink Calls;
   typedef AnswerSink Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1053,61 +1053,58 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::camphorhoist::rpc::AnswerSink::HeadParams,  ::camphorhoist::rpc::AnswerSink::HeadResults> headRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::StreamingRequest< ::camphorhoist::rpc::AnswerSink::ChunkParams> chunkRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::camphorhoist::rpc::AnswerSink::EndParams,  ::camphorhoist::rpc::AnswerSink::EndResults> endRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::camphorhoist::rpc::AnswerSink::HeadParams,
+                   ::camphorhoist::rpc::AnswerSink::HeadResults>
+  headRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::StreamingRequest<::camphorhoist::rpc::AnswerSink::ChunkParams> chunkRequest(
+      ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::camphorhoist::rpc::AnswerSink::EndParams,
+                   ::camphorhoist::rpc::AnswerSink::EndResults>
+  endRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
 
-protected:
+ protected:
   Client() = default;
 };
 
-class AnswerSink::Server
-    : public virtual ::capnp::Capability::Server {
-public:
+class AnswerSink::Server : public virtual ::capnp::Capability::Server {
+ public:
   typedef AnswerSink Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
-protected:
-  typedef  ::camphorhoist::rpc::AnswerSink::HeadParams HeadParams;
-  typedef  ::camphorhoist::rpc::AnswerSink::HeadResults HeadResults;
+ protected:
+  typedef ::camphorhoist::rpc::AnswerSink::HeadParams HeadParams;
+  typedef ::camphorhoist::rpc::AnswerSink::HeadResults HeadResults;
   typedef ::capnp::CallContext<HeadParams, HeadResults> HeadContext;
   virtual ::kj::Promise<void> head(HeadContext context);
-  typedef  ::camphorhoist::rpc::AnswerSink::ChunkParams ChunkParams;
+  typedef ::camphorhoist::rpc::AnswerSink::ChunkParams ChunkParams;
   typedef ::capnp::StreamingCallContext<ChunkParams> ChunkContext;
   virtual ::kj::Promise<void> chunk(ChunkContext context);
-  typedef  ::camphorhoist::rpc::AnswerSink::EndParams EndParams;
-  typedef  ::camphorhoist::rpc::AnswerSink::EndResults EndResults;
+  typedef ::camphorhoist::rpc::AnswerSink::EndParams EndParams;
+  typedef ::camphorhoist::rpc::AnswerSink::EndResults EndResults;
   typedef ::capnp::CallContext<EndParams, EndResults> EndContext;
   virtual ::kj::Promise<void> end(EndContext context);
 
-  inline  ::camphorhoist::rpc::AnswerSink::Client thisCap() {
+  inline ::camphorhoist::rpc::AnswerSink::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::camphorhoist::rpc::AnswerSink>();
+        .template castAs<::camphorhoist::rpc::AnswerSink>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class AnswerSink::HeadParams::Reader {
-public:
+ public:
   typedef HeadParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1115,12 +1112,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus() const;
+  inline ::uint16_t getStatus() const;
 
   inline bool hasHeaders() const;
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+      const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1133,13 +1131,13 @@
 };
 
 class AnswerSink::HeadParams::Builder {
-public:
+ public:
   typedef HeadParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1148,17 +1146,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+  inline ::uint16_t getStatus();
+  inline void setStatus(::uint16_t value);
 
   inline bool hasHeaders();
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
-
-private:
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
+      unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1169,14 +1171,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::HeadParams::Pipeline {
-public:
+ public:
   typedef HeadParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1185,15 +1187,13 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::HeadResults::Reader {
-public:
+ public:
   typedef HeadResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1201,7 +1201,7 @@
   }
 #endif  // !CAPNP_LITE
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1214,13 +1214,13 @@
 };
 
 class AnswerSink::HeadResults::Builder {
-public:
+ public:
   typedef HeadResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1229,7 +1229,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1240,14 +1240,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::HeadResults::Pipeline {
-public:
+ public:
   typedef HeadResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1256,15 +1256,13 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::ChunkParams::Reader {
-public:
+ public:
   typedef ChunkParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1273,9 +1271,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasData() const;
-  inline  ::capnp::Data::Reader getData() const;
+  inline ::capnp::Data::Reader getData() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1288,13 +1286,13 @@
 };
 
 class AnswerSink::ChunkParams::Builder {
-public:
+ public:
   typedef ChunkParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1304,13 +1302,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasData();
-  inline  ::capnp::Data::Builder getData();
-  inline void setData( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initData(unsigned int size);
-  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownData();
+  inline ::capnp::Data::Builder getData();
+  inline void setData(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownData();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1321,14 +1319,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::ChunkParams::Pipeline {
-public:
+ public:
   typedef ChunkParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1337,15 +1335,13 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::EndParams::Reader {
-public:
+ public:
   typedef EndParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1353,7 +1349,7 @@
   }
 #endif  // !CAPNP_LITE
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1366,13 +1362,13 @@
 };
 
 class AnswerSink::EndParams::Builder {
-public:
+ public:
   typedef EndParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1381,7 +1377,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1392,14 +1388,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::EndParams::Pipeline {
-public:
+ public:
   typedef EndParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1408,15 +1404,13 @@
 #endif  // !CAPNP_LITE
 
 class AnswerSink::EndResults::Reader {
-public:
+ public:
   typedef EndResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1424,7 +1418,7 @@
   }
 #endif  // !CAPNP_LITE
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1437,13 +1431,13 @@
 };
 
 class AnswerSink::EndResults::Builder {
-public:
+ public:
   typedef EndResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1452,7 +1446,7 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1463,14 +1457,14 @@
 
 #if !CAPNP_LITE
 class AnswerSink::EndResults::Pipeline {
-public:
+ public:
   typedef EndResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1479,15 +1473,13 @@
 #endif  // !CAPNP_LITE
 
 class RecordChange::Reader {
-public:
+ public:
   typedef RecordChange Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1496,17 +1488,17 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKind() const;
-  inline  ::capnp::Text::Reader getKind() const;
+  inline ::capnp::Text::Reader getKind() const;
 
   inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline ::capnp::Text::Reader getName() const;
 
-  inline  ::uint64_t getChangedAt() const;
+  inline ::uint64_t getChangedAt() const;
 
   inline bool hasBody() const;
-  inline  ::capnp::Text::Reader getBody() const;
+  inline ::capnp::Text::Reader getBody() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1519,13 +1511,13 @@
 };
 
 class RecordChange::Builder {
-public:
+ public:
   typedef RecordChange Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1535,30 +1527,30 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasKind();
-  inline  ::capnp::Text::Builder getKind();
-  inline void setKind( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKind(unsigned int size);
-  inline void adoptKind(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKind();
+  inline ::capnp::Text::Builder getKind();
+  inline void setKind(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initKind(unsigned int size);
+  inline void adoptKind(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownKind();
 
   inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline ::capnp::Text::Builder getName();
+  inline void setName(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownName();
 
-  inline  ::uint64_t getChangedAt();
-  inline void setChangedAt( ::uint64_t value);
+  inline ::uint64_t getChangedAt();
+  inline void setChangedAt(::uint64_t value);
 
   inline bool hasBody();
-  inline  ::capnp::Text::Builder getBody();
-  inline void setBody( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownBody();
+  inline ::capnp::Text::Builder getBody();
+  inline void setBody(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownBody();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1569,14 +1561,14 @@
 
 #if !CAPNP_LITE
 class RecordChange::Pipeline {
-public:
+ public:
   typedef RecordChange Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1585,17 +1577,16 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Node::Client
-    : public virtual ::capnp::Capability::Client {
-public:
+class Node::Client : public virtual ::capnp::Capability::Client {
+ public:
   typedef Node Calls;
   typedef Node Reads;
 
   Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
   Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
   Client(::kj::Promise<_t>&& promise);
   Client(::kj::Exception&& exception);
   Client(Client&) = default;
@@ -1603,80 +1594,76 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::camphorhoist::rpc::Node::HelloParams,  ::camphorhoist::rpc::Node::HelloResults> helloRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::camphorhoist::rpc::Node::PingParams,  ::camphorhoist::rpc::Node::PingResults> pingRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::camphorhoist::rpc::Node::CallParams,  ::camphorhoist::rpc::Node::CallResults> callRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::camphorhoist::rpc::Node::ResolveCallParams,  ::camphorhoist::rpc::Node::ResolveCallResults> resolveCallRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::camphorhoist::rpc::Node::PullConfigParams,  ::camphorhoist::rpc::Node::PullConfigResults> pullConfigRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::camphorhoist::rpc::Node::FloorParams,  ::camphorhoist::rpc::Node::FloorResults> floorRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
+  ::capnp::Request<::camphorhoist::rpc::Node::HelloParams, ::camphorhoist::rpc::Node::HelloResults>
+  helloRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::camphorhoist::rpc::Node::PingParams, ::camphorhoist::rpc::Node::PingResults>
+  pingRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::camphorhoist::rpc::Node::CallParams, ::camphorhoist::rpc::Node::CallResults>
+  callRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::camphorhoist::rpc::Node::ResolveCallParams,
+                   ::camphorhoist::rpc::Node::ResolveCallResults>
+  resolveCallRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::camphorhoist::rpc::Node::PullConfigParams,
+                   ::camphorhoist::rpc::Node::PullConfigResults>
+  pullConfigRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request<::camphorhoist::rpc::Node::FloorParams, ::camphorhoist::rpc::Node::FloorResults>
+  floorRequest(::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+
+ protected:
   Client() = default;
 };
 
-class Node::Server
-    : public virtual ::capnp::Capability::Server {
-public:
+class Node::Server : public virtual ::capnp::Capability::Server {
+ public:
   typedef Node Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
+      ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context) override;
 
-protected:
-  typedef  ::camphorhoist::rpc::Node::HelloParams HelloParams;
-  typedef  ::camphorhoist::rpc::Node::HelloResults HelloResults;
+ protected:
+  typedef ::camphorhoist::rpc::Node::HelloParams HelloParams;
+  typedef ::camphorhoist::rpc::Node::HelloResults HelloResults;
   typedef ::capnp::CallContext<HelloParams, HelloResults> HelloContext;
   virtual ::kj::Promise<void> hello(HelloContext context);
-  typedef  ::camphorhoist::rpc::Node::PingParams PingParams;
-  typedef  ::camphorhoist::rpc::Node::PingResults PingResults;
+  typedef ::camphorhoist::rpc::Node::PingParams PingParams;
+  typedef ::camphorhoist::rpc::Node::PingResults PingResults;
   typedef ::capnp::CallContext<PingParams, PingResults> PingContext;
   virtual ::kj::Promise<void> ping(PingContext context);
-  typedef  ::camphorhoist::rpc::Node::CallParams CallParams;
-  typedef  ::camphorhoist::rpc::Node::CallResults CallResults;
+  typedef ::camphorhoist::rpc::Node::CallParams CallParams;
+  typedef ::camphorhoist::rpc::Node::CallResults CallResults;
   typedef ::capnp::CallContext<CallParams, CallResults> CallContext;
   virtual ::kj::Promise<void> call(CallContext context);
-  typedef  ::camphorhoist::rpc::Node::ResolveCallParams ResolveCallParams;
-  typedef  ::camphorhoist::rpc::Node::ResolveCallResults ResolveCallResults;
+  typedef ::camphorhoist::rpc::Node::ResolveCallParams ResolveCallParams;
+  typedef ::camphorhoist::rpc::Node::ResolveCallResults ResolveCallResults;
   typedef ::capnp::CallContext<ResolveCallParams, ResolveCallResults> ResolveCallContext;
   virtual ::kj::Promise<void> resolveCall(ResolveCallContext context);
-  typedef  ::camphorhoist::rpc::Node::PullConfigParams PullConfigParams;
-  typedef  ::camphorhoist::rpc::Node::PullConfigResults PullConfigResults;
+  typedef ::camphorhoist::rpc::Node::PullConfigParams PullConfigParams;
+  typedef ::camphorhoist::rpc::Node::PullConfigResults PullConfigResults;
   typedef ::capnp::CallContext<PullConfigParams, PullConfigResults> PullConfigContext;
   virtual ::kj::Promise<void> pullConfig(PullConfigContext context);
-  typedef  ::camphorhoist::rpc::Node::FloorParams FloorParams;
-  typedef  ::camphorhoist::rpc::Node::FloorResults FloorResults;
+  typedef ::camphorhoist::rpc::Node::FloorParams FloorParams;
+  typedef ::camphorhoist::rpc::Node::FloorResults FloorResults;
   typedef ::capnp::CallContext<FloorParams, FloorResults> FloorContext;
   virtual ::kj::Promise<void> floor(FloorContext context);
 
-  inline  ::camphorhoist::rpc::Node::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::camphorhoist::rpc::Node>();
+  inline ::camphorhoist::rpc::Node::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap().template castAs<::camphorhoist::rpc::Node>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+      uint16_t methodId, ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
 class Node::HelloParams::Reader {
-public:
+ public:
   typedef HelloParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1685,14 +1672,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMesh() const;
-  inline  ::capnp::Text::Reader getMesh() const;
+  inline ::capnp::Text::Reader getMesh() const;
 
   inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline ::capnp::Text::Reader getAddress() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline ::uint64_t getIncarnation() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1705,13 +1692,13 @@
 };
 
 class Node::HelloParams::Builder {
-public:
+ public:
   typedef HelloParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1721,23 +1708,23 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMesh();
-  inline  ::capnp::Text::Builder getMesh();
-  inline void setMesh( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMesh(unsigned int size);
-  inline void adoptMesh(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMesh();
+  inline ::capnp::Text::Builder getMesh();
+  inline void setMesh(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initMesh(unsigned int size);
+  inline void adoptMesh(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownMesh();
 
   inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline ::capnp::Text::Builder getAddress();
+  inline void setAddress(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownAddress();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1748,14 +1735,14 @@
 
 #if !CAPNP_LITE
 class Node::HelloParams::Pipeline {
-public:
+ public:
   typedef HelloParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1764,15 +1751,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::HelloResults::Reader {
-public:
+ public:
   typedef HelloResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1781,14 +1766,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMesh() const;
-  inline  ::capnp::Text::Reader getMesh() const;
+  inline ::capnp::Text::Reader getMesh() const;
 
   inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline ::capnp::Text::Reader getAddress() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline ::uint64_t getIncarnation() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1801,13 +1786,13 @@
 };
 
 class Node::HelloResults::Builder {
-public:
+ public:
   typedef HelloResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1817,23 +1802,23 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasMesh();
-  inline  ::capnp::Text::Builder getMesh();
-  inline void setMesh( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMesh(unsigned int size);
-  inline void adoptMesh(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMesh();
+  inline ::capnp::Text::Builder getMesh();
+  inline void setMesh(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initMesh(unsigned int size);
+  inline void adoptMesh(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownMesh();
 
   inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline ::capnp::Text::Builder getAddress();
+  inline void setAddress(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownAddress();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1844,14 +1829,14 @@
 
 #if !CAPNP_LITE
 class Node::HelloResults::Pipeline {
-public:
+ public:
   typedef HelloResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1860,15 +1845,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::PingParams::Reader {
-public:
+ public:
   typedef PingParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1877,9 +1860,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPayload() const;
-  inline  ::capnp::Data::Reader getPayload() const;
+  inline ::capnp::Data::Reader getPayload() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1892,13 +1875,13 @@
 };
 
 class Node::PingParams::Builder {
-public:
+ public:
   typedef PingParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1908,13 +1891,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPayload();
-  inline  ::capnp::Data::Builder getPayload();
-  inline void setPayload( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+  inline ::capnp::Data::Builder getPayload();
+  inline void setPayload(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownPayload();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1925,14 +1908,14 @@
 
 #if !CAPNP_LITE
 class Node::PingParams::Pipeline {
-public:
+ public:
   typedef PingParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1941,15 +1924,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::PingResults::Reader {
-public:
+ public:
   typedef PingResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1958,9 +1939,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPayload() const;
-  inline  ::capnp::Data::Reader getPayload() const;
+  inline ::capnp::Data::Reader getPayload() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1973,13 +1954,13 @@
 };
 
 class Node::PingResults::Builder {
-public:
+ public:
   typedef PingResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1989,13 +1970,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasPayload();
-  inline  ::capnp::Data::Builder getPayload();
-  inline void setPayload( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initPayload(unsigned int size);
-  inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownPayload();
+  inline ::capnp::Data::Builder getPayload();
+  inline void setPayload(::capnp::Data::Reader value);
+  inline ::capnp::Data::Builder initPayload(unsigned int size);
+  inline void adoptPayload(::capnp::Orphan<::capnp::Data>&& value);
+  inline ::capnp::Orphan<::capnp::Data> disownPayload();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2006,14 +1987,14 @@
 
 #if !CAPNP_LITE
 class Node::PingResults::Pipeline {
-public:
+ public:
   typedef PingResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2022,15 +2003,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::CallParams::Reader {
-public:
+ public:
   typedef CallParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2039,14 +2018,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest() const;
-  inline  ::camphorhoist::rpc::CallRequest::Reader getRequest() const;
+  inline ::camphorhoist::rpc::CallRequest::Reader getRequest() const;
 
   inline bool hasSink() const;
 #if !CAPNP_LITE
-  inline  ::camphorhoist::rpc::AnswerSink::Client getSink() const;
+  inline ::camphorhoist::rpc::AnswerSink::Client getSink() const;
 #endif  // !CAPNP_LITE
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2059,13 +2038,13 @@
 };
 
 class Node::CallParams::Builder {
-public:
+ public:
   typedef CallParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2075,22 +2054,22 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasRequest();
-  inline  ::camphorhoist::rpc::CallRequest::Builder getRequest();
-  inline void setRequest( ::camphorhoist::rpc::CallRequest::Reader value);
-  inline  ::camphorhoist::rpc::CallRequest::Builder initRequest();
-  inline void adoptRequest(::capnp::Orphan< ::camphorhoist::rpc::CallRequest>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::CallRequest> disownRequest();
+  inline ::camphorhoist::rpc::CallRequest::Builder getRequest();
+  inline void setRequest(::camphorhoist::rpc::CallRequest::Reader value);
+  inline ::camphorhoist::rpc::CallRequest::Builder initRequest();
+  inline void adoptRequest(::capnp::Orphan<::camphorhoist::rpc::CallRequest>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::CallRequest> disownRequest();
 
   inline bool hasSink();
 #if !CAPNP_LITE
-  inline  ::camphorhoist::rpc::AnswerSink::Client getSink();
-  inline void setSink( ::camphorhoist::rpc::AnswerSink::Client&& value);
-  inline void setSink( ::camphorhoist::rpc::AnswerSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::camphorhoist::rpc::AnswerSink>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::AnswerSink> disownSink();
+  inline ::camphorhoist::rpc::AnswerSink::Client getSink();
+  inline void setSink(::camphorhoist::rpc::AnswerSink::Client&& value);
+  inline void setSink(::camphorhoist::rpc::AnswerSink::Client& value);
+  inline void adoptSink(::capnp::Orphan<::camphorhoist::rpc::AnswerSink>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::AnswerSink> disownSink();
 #endif  // !CAPNP_LITE
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2101,16 +2080,17 @@
 
 #if !CAPNP_LITE
 class Node::CallParams::Pipeline {
-public:
+ public:
   typedef CallParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::rpc::CallRequest::Pipeline getRequest();
-  inline  ::camphorhoist::rpc::AnswerSink::Client getSink();
-private:
+  inline ::camphorhoist::rpc::CallRequest::Pipeline getRequest();
+  inline ::camphorhoist::rpc::AnswerSink::Client getSink();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2119,15 +2099,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::CallResults::Reader {
-public:
+ public:
   typedef CallResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2136,9 +2114,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasResult() const;
-  inline  ::camphorhoist::rpc::CallResult::Reader getResult() const;
+  inline ::camphorhoist::rpc::CallResult::Reader getResult() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2151,13 +2129,13 @@
 };
 
 class Node::CallResults::Builder {
-public:
+ public:
   typedef CallResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2167,13 +2145,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasResult();
-  inline  ::camphorhoist::rpc::CallResult::Builder getResult();
-  inline void setResult( ::camphorhoist::rpc::CallResult::Reader value);
-  inline  ::camphorhoist::rpc::CallResult::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::camphorhoist::rpc::CallResult>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::CallResult> disownResult();
+  inline ::camphorhoist::rpc::CallResult::Builder getResult();
+  inline void setResult(::camphorhoist::rpc::CallResult::Reader value);
+  inline ::camphorhoist::rpc::CallResult::Builder initResult();
+  inline void adoptResult(::capnp::Orphan<::camphorhoist::rpc::CallResult>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::CallResult> disownResult();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2184,15 +2162,16 @@
 
 #if !CAPNP_LITE
 class Node::CallResults::Pipeline {
-public:
+ public:
   typedef CallResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::rpc::CallResult::Pipeline getResult();
-private:
+  inline ::camphorhoist::rpc::CallResult::Pipeline getResult();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2201,15 +2180,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::ResolveCallParams::Reader {
-public:
+ public:
   typedef ResolveCallParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2218,11 +2195,11 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::camphorhoist::rpc::CallId::Reader getId() const;
+  inline ::camphorhoist::rpc::CallId::Reader getId() const;
 
-  inline  ::uint64_t getTargetIncarnation() const;
+  inline ::uint64_t getTargetIncarnation() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2235,13 +2212,13 @@
 };
 
 class Node::ResolveCallParams::Builder {
-public:
+ public:
   typedef ResolveCallParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2251,16 +2228,16 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline  ::camphorhoist::rpc::CallId::Builder getId();
-  inline void setId( ::camphorhoist::rpc::CallId::Reader value);
-  inline  ::camphorhoist::rpc::CallId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::camphorhoist::rpc::CallId>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::CallId> disownId();
+  inline ::camphorhoist::rpc::CallId::Builder getId();
+  inline void setId(::camphorhoist::rpc::CallId::Reader value);
+  inline ::camphorhoist::rpc::CallId::Builder initId();
+  inline void adoptId(::capnp::Orphan<::camphorhoist::rpc::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::CallId> disownId();
 
-  inline  ::uint64_t getTargetIncarnation();
-  inline void setTargetIncarnation( ::uint64_t value);
+  inline ::uint64_t getTargetIncarnation();
+  inline void setTargetIncarnation(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2271,15 +2248,16 @@
 
 #if !CAPNP_LITE
 class Node::ResolveCallParams::Pipeline {
-public:
+ public:
   typedef ResolveCallParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::rpc::CallId::Pipeline getId();
-private:
+  inline ::camphorhoist::rpc::CallId::Pipeline getId();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2288,15 +2266,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::ResolveCallResults::Reader {
-public:
+ public:
   typedef ResolveCallResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2304,9 +2280,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::camphorhoist::rpc::Node::CallState getState() const;
+  inline ::camphorhoist::rpc::Node::CallState getState() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2319,13 +2295,13 @@
 };
 
 class Node::ResolveCallResults::Builder {
-public:
+ public:
   typedef ResolveCallResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2334,10 +2310,10 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::camphorhoist::rpc::Node::CallState getState();
-  inline void setState( ::camphorhoist::rpc::Node::CallState value);
+  inline ::camphorhoist::rpc::Node::CallState getState();
+  inline void setState(::camphorhoist::rpc::Node::CallState value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2348,14 +2324,14 @@
 
 #if !CAPNP_LITE
 class Node::ResolveCallResults::Pipeline {
-public:
+ public:
   typedef ResolveCallResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2364,15 +2340,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::PullConfigParams::Reader {
-public:
+ public:
   typedef PullConfigParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2381,12 +2355,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasVersion() const;
-  inline  ::camphorhoist::rpc::Version::Reader getVersion() const;
+  inline ::camphorhoist::rpc::Version::Reader getVersion() const;
 
   inline bool hasHash() const;
-  inline  ::capnp::Text::Reader getHash() const;
+  inline ::capnp::Text::Reader getHash() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2399,13 +2373,13 @@
 };
 
 class Node::PullConfigParams::Builder {
-public:
+ public:
   typedef PullConfigParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2415,20 +2389,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasVersion();
-  inline  ::camphorhoist::rpc::Version::Builder getVersion();
-  inline void setVersion( ::camphorhoist::rpc::Version::Reader value);
-  inline  ::camphorhoist::rpc::Version::Builder initVersion();
-  inline void adoptVersion(::capnp::Orphan< ::camphorhoist::rpc::Version>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::Version> disownVersion();
+  inline ::camphorhoist::rpc::Version::Builder getVersion();
+  inline void setVersion(::camphorhoist::rpc::Version::Reader value);
+  inline ::camphorhoist::rpc::Version::Builder initVersion();
+  inline void adoptVersion(::capnp::Orphan<::camphorhoist::rpc::Version>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::Version> disownVersion();
 
   inline bool hasHash();
-  inline  ::capnp::Text::Builder getHash();
-  inline void setHash( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHash(unsigned int size);
-  inline void adoptHash(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHash();
+  inline ::capnp::Text::Builder getHash();
+  inline void setHash(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initHash(unsigned int size);
+  inline void adoptHash(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownHash();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2439,15 +2413,16 @@
 
 #if !CAPNP_LITE
 class Node::PullConfigParams::Pipeline {
-public:
+ public:
   typedef PullConfigParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::rpc::Version::Pipeline getVersion();
-private:
+  inline ::camphorhoist::rpc::Version::Pipeline getVersion();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2456,15 +2431,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::PullConfigResults::Reader {
-public:
+ public:
   typedef PullConfigResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2473,17 +2446,18 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasVersion() const;
-  inline  ::camphorhoist::rpc::Version::Reader getVersion() const;
+  inline ::camphorhoist::rpc::Version::Reader getVersion() const;
 
   inline bool hasHash() const;
-  inline  ::capnp::Text::Reader getHash() const;
+  inline ::capnp::Text::Reader getHash() const;
 
   inline bool getFull() const;
 
   inline bool hasChanges() const;
-  inline  ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>::Reader getChanges() const;
+  inline ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>::Reader
+  getChanges() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2496,13 +2470,13 @@
 };
 
 class Node::PullConfigResults::Builder {
-public:
+ public:
   typedef PullConfigResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2512,30 +2486,36 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasVersion();
-  inline  ::camphorhoist::rpc::Version::Builder getVersion();
-  inline void setVersion( ::camphorhoist::rpc::Version::Reader value);
-  inline  ::camphorhoist::rpc::Version::Builder initVersion();
-  inline void adoptVersion(::capnp::Orphan< ::camphorhoist::rpc::Version>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::Version> disownVersion();
+  inline ::camphorhoist::rpc::Version::Builder getVersion();
+  inline void setVersion(::camphorhoist::rpc::Version::Reader value);
+  inline ::camphorhoist::rpc::Version::Builder initVersion();
+  inline void adoptVersion(::capnp::Orphan<::camphorhoist::rpc::Version>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::Version> disownVersion();
 
   inline bool hasHash();
-  inline  ::capnp::Text::Builder getHash();
-  inline void setHash( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHash(unsigned int size);
-  inline void adoptHash(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHash();
+  inline ::capnp::Text::Builder getHash();
+  inline void setHash(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initHash(unsigned int size);
+  inline void adoptHash(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownHash();
 
   inline bool getFull();
   inline void setFull(bool value);
 
   inline bool hasChanges();
-  inline  ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>::Builder getChanges();
-  inline void setChanges( ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>::Builder initChanges(unsigned int size);
-  inline void adoptChanges(::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>> disownChanges();
-
-private:
+  inline ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>::Builder
+  getChanges();
+  inline void setChanges(
+      ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>::Builder
+  initChanges(unsigned int size);
+  inline void adoptChanges(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>
+  disownChanges();
+
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2546,15 +2526,16 @@
 
 #if !CAPNP_LITE
 class Node::PullConfigResults::Pipeline {
-public:
+ public:
   typedef PullConfigResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::rpc::Version::Pipeline getVersion();
-private:
+  inline ::camphorhoist::rpc::Version::Pipeline getVersion();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2563,15 +2544,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::FloorParams::Reader {
-public:
+ public:
   typedef FloorParams Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2580,9 +2559,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline ::capnp::Text::Reader getAddress() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2595,13 +2574,13 @@
 };
 
 class Node::FloorParams::Builder {
-public:
+ public:
   typedef FloorParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2611,13 +2590,13 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline ::capnp::Text::Builder getAddress();
+  inline void setAddress(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownAddress();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2628,14 +2607,14 @@
 
 #if !CAPNP_LITE
 class Node::FloorParams::Pipeline {
-public:
+ public:
   typedef FloorParams Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2644,15 +2623,13 @@
 #endif  // !CAPNP_LITE
 
 class Node::FloorResults::Reader {
-public:
+ public:
   typedef FloorResults Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -2661,12 +2638,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHighest() const;
-  inline  ::camphorhoist::rpc::Version::Reader getHighest() const;
+  inline ::camphorhoist::rpc::Version::Reader getHighest() const;
 
   inline bool hasReported() const;
-  inline  ::camphorhoist::rpc::Version::Reader getReported() const;
+  inline ::camphorhoist::rpc::Version::Reader getReported() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2679,13 +2656,13 @@
 };
 
 class Node::FloorResults::Builder {
-public:
+ public:
   typedef FloorResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -2695,20 +2672,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasHighest();
-  inline  ::camphorhoist::rpc::Version::Builder getHighest();
-  inline void setHighest( ::camphorhoist::rpc::Version::Reader value);
-  inline  ::camphorhoist::rpc::Version::Builder initHighest();
-  inline void adoptHighest(::capnp::Orphan< ::camphorhoist::rpc::Version>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::Version> disownHighest();
+  inline ::camphorhoist::rpc::Version::Builder getHighest();
+  inline void setHighest(::camphorhoist::rpc::Version::Reader value);
+  inline ::camphorhoist::rpc::Version::Builder initHighest();
+  inline void adoptHighest(::capnp::Orphan<::camphorhoist::rpc::Version>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::Version> disownHighest();
 
   inline bool hasReported();
-  inline  ::camphorhoist::rpc::Version::Builder getReported();
-  inline void setReported( ::camphorhoist::rpc::Version::Reader value);
-  inline  ::camphorhoist::rpc::Version::Builder initReported();
-  inline void adoptReported(::capnp::Orphan< ::camphorhoist::rpc::Version>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::rpc::Version> disownReported();
+  inline ::camphorhoist::rpc::Version::Builder getReported();
+  inline void setReported(::camphorhoist::rpc::Version::Reader value);
+  inline ::camphorhoist::rpc::Version::Builder initReported();
+  inline void adoptReported(::capnp::Orphan<::camphorhoist::rpc::Version>&& value);
+  inline ::capnp::Orphan<::camphorhoist::rpc::Version> disownReported();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2719,16 +2696,17 @@
 
 #if !CAPNP_LITE
 class Node::FloorResults::Pipeline {
-public:
+ public:
   typedef FloorResults Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::rpc::Version::Pipeline getHighest();
-  inline  ::camphorhoist::rpc::Version::Pipeline getReported();
-private:
+  inline ::camphorhoist::rpc::Version::Pipeline getHighest();
+  inline ::camphorhoist::rpc::Version::Pipeline getReported();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -2738,676 +2716,607 @@
 
 // =======================================================================================
 
-inline  ::uint64_t Version::Reader::getEpoch() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Version::Reader::getEpoch() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Version::Builder::getEpoch() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Version::Builder::getEpoch() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Version::Builder::setEpoch( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Version::Builder::setEpoch(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Version::Reader::getNumber() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Version::Reader::getNumber() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Version::Builder::getNumber() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Version::Builder::getNumber() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Version::Builder::setNumber( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Version::Builder::setNumber(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CallId::Reader::getOrigin() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallId::Reader::getOrigin() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CallId::Builder::getOrigin() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallId::Builder::getOrigin() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CallId::Builder::setOrigin( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CallId::Builder::setOrigin(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CallId::Reader::getCounter() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallId::Reader::getCounter() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CallId::Builder::getCounter() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallId::Builder::getCounter() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CallId::Builder::setCounter( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void CallId::Builder::setCounter(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Header::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Header::Builder::setName(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Header::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Header::Reader::hasValue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasValue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Header::Builder::setValue(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Header::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::rpc::CallId::Reader CallRequest::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallId::Reader CallRequest::Reader::getId() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::CallId::Builder CallRequest::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallId::Builder CallRequest::Builder::getId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::CallId::Pipeline CallRequest::Pipeline::getId() {
-  return  ::camphorhoist::rpc::CallId::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::rpc::CallId::Pipeline CallRequest::Pipeline::getId() {
+  return ::camphorhoist::rpc::CallId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void CallRequest::Builder::setId( ::camphorhoist::rpc::CallId::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CallRequest::Builder::setId(::camphorhoist::rpc::CallId::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::rpc::CallId::Builder CallRequest::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallId::Builder CallRequest::Builder::initId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::adoptId(
-    ::capnp::Orphan< ::camphorhoist::rpc::CallId>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void CallRequest::Builder::adoptId(::capnp::Orphan<::camphorhoist::rpc::CallId>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::CallId> CallRequest::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::CallId> CallRequest::Builder::disownId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CallRequest::Reader::getTargetIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallRequest::Reader::getTargetIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CallRequest::Builder::getTargetIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallRequest::Builder::getTargetIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setTargetIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CallRequest::Builder::setTargetIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CallRequest::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CallRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CallRequest::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CallRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void CallRequest::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CallRequest::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CallRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CallRequest::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void CallRequest::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasEndpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasEndpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CallRequest::Reader::getEndpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CallRequest::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CallRequest::Builder::getEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CallRequest::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setEndpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void CallRequest::Builder::setEndpoint(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CallRequest::Builder::initEndpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CallRequest::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void CallRequest::Builder::adoptEndpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void CallRequest::Builder::adoptEndpoint(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownEndpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasMethod() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasMethod() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CallRequest::Reader::getMethod() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CallRequest::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CallRequest::Builder::getMethod() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CallRequest::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setMethod( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void CallRequest::Builder::setMethod(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CallRequest::Builder::initMethod(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CallRequest::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void CallRequest::Builder::adoptMethod(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void CallRequest::Builder::adoptMethod(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownMethod() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasTarget() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasTarget() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CallRequest::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CallRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CallRequest::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CallRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void CallRequest::Builder::setTarget(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CallRequest::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CallRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void CallRequest::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void CallRequest::Builder::adoptTarget(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CallRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader CallRequest::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder CallRequest::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
-}
-inline void CallRequest::Builder::setHeaders( ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder CallRequest::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader
+CallRequest::Reader::getHeaders() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder
+CallRequest::Builder::getHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void CallRequest::Builder::setHeaders(
+    ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder
+CallRequest::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void CallRequest::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>> CallRequest::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>
+CallRequest::Builder::disownHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::disown(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool CallRequest::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallRequest::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader CallRequest::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader CallRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder CallRequest::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder CallRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void CallRequest::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+inline void CallRequest::Builder::setBody(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder CallRequest::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder CallRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void CallRequest::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline void CallRequest::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> CallRequest::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> CallRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CallRequest::Reader::getTimeoutMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallRequest::Reader::getTimeoutMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CallRequest::Builder::getTimeoutMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallRequest::Builder::getTimeoutMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setTimeoutMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void CallRequest::Builder::setTimeoutMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CallRequest::Reader::getMaxQueueMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallRequest::Reader::getMaxQueueMs() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CallRequest::Builder::getMaxQueueMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallRequest::Builder::getMaxQueueMs() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setMaxQueueMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void CallRequest::Builder::setMaxQueueMs(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::getLongWork() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool CallRequest::Builder::getLongWork() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void CallRequest::Builder::setLongWork(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallRequest::Reader::getIdempotent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 
 inline bool CallRequest::Builder::getIdempotent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS);
 }
 inline void CallRequest::Builder::setIdempotent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CallRequest::Reader::getDepth() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallRequest::Reader::getDepth() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CallRequest::Builder::getDepth() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallRequest::Builder::getDepth() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void CallRequest::Builder::setDepth( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void CallRequest::Builder::setDepth(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::camphorhoist::rpc::Outcome CallResult::Reader::getOutcome() const {
-  return _reader.getDataField< ::camphorhoist::rpc::Outcome>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::camphorhoist::rpc::Outcome CallResult::Reader::getOutcome() const {
+  return _reader.getDataField<::camphorhoist::rpc::Outcome>(::capnp::bounded<0>() *
+                                                            ::capnp::ELEMENTS);
 }
 
-inline  ::camphorhoist::rpc::Outcome CallResult::Builder::getOutcome() {
-  return _builder.getDataField< ::camphorhoist::rpc::Outcome>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::camphorhoist::rpc::Outcome CallResult::Builder::getOutcome() {
+  return _builder.getDataField<::camphorhoist::rpc::Outcome>(::capnp::bounded<0>() *
+                                                             ::capnp::ELEMENTS);
 }
-inline void CallResult::Builder::setOutcome( ::camphorhoist::rpc::Outcome value) {
-  _builder.setDataField< ::camphorhoist::rpc::Outcome>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CallResult::Builder::setOutcome(::camphorhoist::rpc::Outcome value) {
+  _builder.setDataField<::camphorhoist::rpc::Outcome>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                                      value);
 }
 
 inline bool CallResult::Reader::hasReason() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallResult::Builder::hasReason() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CallResult::Reader::getReason() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader CallResult::Reader::getReason() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CallResult::Builder::getReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder CallResult::Builder::getReason() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CallResult::Builder::setReason( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void CallResult::Builder::setReason(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CallResult::Builder::initReason(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder CallResult::Builder::initReason(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CallResult::Builder::adoptReason(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void CallResult::Builder::adoptReason(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CallResult::Builder::disownReason() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> CallResult::Builder::disownReason() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t CallResult::Reader::getQueueLength() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Reader::getQueueLength() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CallResult::Builder::getQueueLength() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Builder::getQueueLength() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CallResult::Builder::setQueueLength( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void CallResult::Builder::setQueueLength(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CallResult::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Reader::getRunning() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CallResult::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Builder::getRunning() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void CallResult::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void CallResult::Builder::setRunning(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CallResult::Reader::getLimit() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Reader::getLimit() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CallResult::Builder::getLimit() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Builder::getLimit() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void CallResult::Builder::setLimit( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void CallResult::Builder::setLimit(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CallResult::Reader::getQueueMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Reader::getQueueMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CallResult::Builder::getQueueMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Builder::getQueueMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void CallResult::Builder::setQueueMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void CallResult::Builder::setQueueMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t CallResult::Reader::getServiceMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Reader::getServiceMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t CallResult::Builder::getServiceMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline ::uint32_t CallResult::Builder::getServiceMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void CallResult::Builder::setServiceMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void CallResult::Builder::setServiceMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallResult::Reader::getInlineAnswer() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
 inline bool CallResult::Builder::getInlineAnswer() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 inline void CallResult::Builder::setInlineAnswer(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t CallResult::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::uint16_t CallResult::Reader::getStatus() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t CallResult::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS);
+inline ::uint16_t CallResult::Builder::getStatus() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS);
 }
-inline void CallResult::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
+inline void CallResult::Builder::setStatus(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool CallResult::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallResult::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader CallResult::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder CallResult::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void CallResult::Builder::setHeaders( ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder CallResult::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader
+CallResult::Reader::getHeaders() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder
+CallResult::Builder::getHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CallResult::Builder::setHeaders(
+    ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder
+CallResult::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void CallResult::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>> CallResult::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>
+CallResult::Builder::disownHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::disown(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool CallResult::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool CallResult::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader CallResult::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader CallResult::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder CallResult::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder CallResult::Builder::getBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void CallResult::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void CallResult::Builder::setBody(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder CallResult::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder CallResult::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void CallResult::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void CallResult::Builder::adoptBody(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> CallResult::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> CallResult::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline AnswerSink::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline AnswerSink::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
+inline AnswerSink::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
+inline AnswerSink::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline AnswerSink::Client::Client(::kj::Own<_t>&& server)
@@ -3417,219 +3326,206 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline AnswerSink::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::camphorhoist::rpc::AnswerSink::Client& AnswerSink::Client::operator=(Client& other) {
+inline ::camphorhoist::rpc::AnswerSink::Client& AnswerSink::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline  ::camphorhoist::rpc::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other) {
+inline ::camphorhoist::rpc::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
-inline  ::uint16_t AnswerSink::HeadParams::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint16_t AnswerSink::HeadParams::Reader::getStatus() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t AnswerSink::HeadParams::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint16_t AnswerSink::HeadParams::Builder::getStatus() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AnswerSink::HeadParams::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void AnswerSink::HeadParams::Builder::setStatus(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool AnswerSink::HeadParams::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerSink::HeadParams::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader AnswerSink::HeadParams::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder AnswerSink::HeadParams::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AnswerSink::HeadParams::Builder::setHeaders( ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>::Builder AnswerSink::HeadParams::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader
+AnswerSink::HeadParams::Reader::getHeaders() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder
+AnswerSink::HeadParams::Builder::getHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AnswerSink::HeadParams::Builder::setHeaders(
+    ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>::Builder
+AnswerSink::HeadParams::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void AnswerSink::HeadParams::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>> AnswerSink::HeadParams::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>
+AnswerSink::HeadParams::Builder::disownHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::Header, ::capnp::Kind::STRUCT>>::disown(
+          _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool AnswerSink::ChunkParams::Reader::hasData() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool AnswerSink::ChunkParams::Builder::hasData() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader AnswerSink::ChunkParams::Reader::getData() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader AnswerSink::ChunkParams::Reader::getData() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder AnswerSink::ChunkParams::Builder::getData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder AnswerSink::ChunkParams::Builder::getData() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void AnswerSink::ChunkParams::Builder::setData( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AnswerSink::ChunkParams::Builder::setData(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder AnswerSink::ChunkParams::Builder::initData(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder AnswerSink::ChunkParams::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void AnswerSink::ChunkParams::Builder::adoptData(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void AnswerSink::ChunkParams::Builder::adoptData(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> AnswerSink::ChunkParams::Builder::disownData() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> AnswerSink::ChunkParams::Builder::disownData() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RecordChange::Reader::hasKind() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool RecordChange::Builder::hasKind() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RecordChange::Reader::getKind() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader RecordChange::Reader::getKind() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RecordChange::Builder::getKind() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder RecordChange::Builder::getKind() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RecordChange::Builder::setKind( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void RecordChange::Builder::setKind(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RecordChange::Builder::initKind(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder RecordChange::Builder::initKind(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RecordChange::Builder::adoptKind(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void RecordChange::Builder::adoptKind(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RecordChange::Builder::disownKind() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownKind() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool RecordChange::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool RecordChange::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RecordChange::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader RecordChange::Reader::getName() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RecordChange::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder RecordChange::Builder::getName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RecordChange::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void RecordChange::Builder::setName(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RecordChange::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder RecordChange::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RecordChange::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void RecordChange::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RecordChange::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RecordChange::Reader::getChangedAt() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t RecordChange::Reader::getChangedAt() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RecordChange::Builder::getChangedAt() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t RecordChange::Builder::getChangedAt() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void RecordChange::Builder::setChangedAt( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RecordChange::Builder::setChangedAt(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool RecordChange::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool RecordChange::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RecordChange::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader RecordChange::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RecordChange::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder RecordChange::Builder::getBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void RecordChange::Builder::setBody( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void RecordChange::Builder::setBody(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RecordChange::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder RecordChange::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void RecordChange::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void RecordChange::Builder::adoptBody(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RecordChange::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> RecordChange::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
-inline Node::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Node::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
+inline Node::Client::Client(decltype(nullptr)) : ::capnp::Capability::Client(nullptr) {}
+inline Node::Client::Client(::kj::Own<::capnp::ClientHook>&& hook)
     : ::capnp::Capability::Client(::kj::mv(hook)) {}
 template <typename _t, typename>
 inline Node::Client::Client(::kj::Own<_t>&& server)
