@@ -3639,740 +3535,700 @@
     : ::capnp::Capability::Client(::kj::mv(promise)) {}
 inline Node::Client::Client(::kj::Exception&& exception)
     : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::camphorhoist::rpc::Node::Client& Node::Client::operator=(Client& other) {
+inline ::camphorhoist::rpc::Node::Client& Node::Client::operator=(Client& other) {
   ::capnp::Capability::Client::operator=(other);
   return *this;
 }
-inline  ::camphorhoist::rpc::Node::Client& Node::Client::operator=(Client&& other) {
+inline ::camphorhoist::rpc::Node::Client& Node::Client::operator=(Client&& other) {
   ::capnp::Capability::Client::operator=(kj::mv(other));
   return *this;
 }
 
 #endif  // !CAPNP_LITE
 inline bool Node::HelloParams::Reader::hasMesh() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::HelloParams::Builder::hasMesh() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::HelloParams::Reader::getMesh() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Node::HelloParams::Reader::getMesh() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::HelloParams::Builder::getMesh() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Node::HelloParams::Builder::getMesh() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::HelloParams::Builder::setMesh( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::HelloParams::Builder::setMesh(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::HelloParams::Builder::initMesh(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Node::HelloParams::Builder::initMesh(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::HelloParams::Builder::adoptMesh(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::HelloParams::Builder::adoptMesh(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::HelloParams::Builder::disownMesh() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Node::HelloParams::Builder::disownMesh() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::HelloParams::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::HelloParams::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::HelloParams::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Node::HelloParams::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::HelloParams::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Node::HelloParams::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::HelloParams::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Node::HelloParams::Builder::setAddress(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::HelloParams::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Node::HelloParams::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::HelloParams::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::HelloParams::Builder::adoptAddress(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::HelloParams::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Node::HelloParams::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::HelloParams::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Node::HelloParams::Reader::getIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Node::HelloParams::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Node::HelloParams::Builder::getIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::HelloParams::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Node::HelloParams::Builder::setIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Node::HelloResults::Reader::hasMesh() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::HelloResults::Builder::hasMesh() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::HelloResults::Reader::getMesh() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Node::HelloResults::Reader::getMesh() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::HelloResults::Builder::getMesh() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Node::HelloResults::Builder::getMesh() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::HelloResults::Builder::setMesh( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::HelloResults::Builder::setMesh(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::HelloResults::Builder::initMesh(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Node::HelloResults::Builder::initMesh(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::HelloResults::Builder::adoptMesh(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::HelloResults::Builder::adoptMesh(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::HelloResults::Builder::disownMesh() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Node::HelloResults::Builder::disownMesh() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::HelloResults::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::HelloResults::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::HelloResults::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Node::HelloResults::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::HelloResults::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Node::HelloResults::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::HelloResults::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Node::HelloResults::Builder::setAddress(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::HelloResults::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Node::HelloResults::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::HelloResults::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::HelloResults::Builder::adoptAddress(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::HelloResults::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Node::HelloResults::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::HelloResults::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Node::HelloResults::Reader::getIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Node::HelloResults::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Node::HelloResults::Builder::getIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::HelloResults::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Node::HelloResults::Builder::setIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Node::PingParams::Reader::hasPayload() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::PingParams::Builder::hasPayload() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Node::PingParams::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader Node::PingParams::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Node::PingParams::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder Node::PingParams::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::PingParams::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::PingParams::Builder::setPayload(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Node::PingParams::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder Node::PingParams::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::PingParams::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::PingParams::Builder::adoptPayload(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Node::PingParams::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> Node::PingParams::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::PingResults::Reader::hasPayload() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::PingResults::Builder::hasPayload() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader Node::PingResults::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Reader Node::PingResults::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder Node::PingResults::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Data::Builder Node::PingResults::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::PingResults::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::PingResults::Builder::setPayload(::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder Node::PingResults::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Data::Builder Node::PingResults::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::PingResults::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::PingResults::Builder::adoptPayload(::capnp::Orphan<::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Data>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> Node::PingResults::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Data> Node::PingResults::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers<::capnp::Data>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::CallParams::Reader::hasRequest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::CallParams::Builder::hasRequest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::rpc::CallRequest::Reader Node::CallParams::Reader::getRequest() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallRequest>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallRequest::Reader Node::CallParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallRequest>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::CallRequest::Builder Node::CallParams::Builder::getRequest() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallRequest>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallRequest::Builder Node::CallParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallRequest>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::CallRequest::Pipeline Node::CallParams::Pipeline::getRequest() {
-  return  ::camphorhoist::rpc::CallRequest::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::rpc::CallRequest::Pipeline Node::CallParams::Pipeline::getRequest() {
+  return ::camphorhoist::rpc::CallRequest::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::CallParams::Builder::setRequest( ::camphorhoist::rpc::CallRequest::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallRequest>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::CallParams::Builder::setRequest(::camphorhoist::rpc::CallRequest::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallRequest>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::rpc::CallRequest::Builder Node::CallParams::Builder::initRequest() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallRequest>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallRequest::Builder Node::CallParams::Builder::initRequest() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallRequest>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::CallParams::Builder::adoptRequest(
-    ::capnp::Orphan< ::camphorhoist::rpc::CallRequest>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallRequest>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::camphorhoist::rpc::CallRequest>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallRequest>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::CallRequest> Node::CallParams::Builder::disownRequest() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallRequest>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::CallRequest>
+Node::CallParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallRequest>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::CallParams::Reader::hasSink() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::CallParams::Builder::hasSink() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::AnswerSink::Client Node::CallParams::Reader::getSink() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::AnswerSink>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::AnswerSink::Client Node::CallParams::Reader::getSink() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::AnswerSink>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::AnswerSink::Client Node::CallParams::Builder::getSink() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::AnswerSink>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::AnswerSink::Client Node::CallParams::Builder::getSink() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::AnswerSink>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::AnswerSink::Client Node::CallParams::Pipeline::getSink() {
-  return  ::camphorhoist::rpc::AnswerSink::Client(_typeless.getPointerField(1).asCap());
+inline ::camphorhoist::rpc::AnswerSink::Client Node::CallParams::Pipeline::getSink() {
+  return ::camphorhoist::rpc::AnswerSink::Client(_typeless.getPointerField(1).asCap());
 }
-inline void Node::CallParams::Builder::setSink( ::camphorhoist::rpc::AnswerSink::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::AnswerSink>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
+inline void Node::CallParams::Builder::setSink(::camphorhoist::rpc::AnswerSink::Client&& cap) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::AnswerSink>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(cap));
 }
-inline void Node::CallParams::Builder::setSink( ::camphorhoist::rpc::AnswerSink::Client& cap) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::AnswerSink>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), cap);
+inline void Node::CallParams::Builder::setSink(::camphorhoist::rpc::AnswerSink::Client& cap) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::AnswerSink>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), cap);
 }
 inline void Node::CallParams::Builder::adoptSink(
-    ::capnp::Orphan< ::camphorhoist::rpc::AnswerSink>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::AnswerSink>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::camphorhoist::rpc::AnswerSink>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::AnswerSink>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::AnswerSink> Node::CallParams::Builder::disownSink() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::AnswerSink>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::AnswerSink> Node::CallParams::Builder::disownSink() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::AnswerSink>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #endif  // !CAPNP_LITE
 
 inline bool Node::CallResults::Reader::hasResult() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::CallResults::Builder::hasResult() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::rpc::CallResult::Reader Node::CallResults::Reader::getResult() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallResult>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallResult::Reader Node::CallResults::Reader::getResult() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::CallResult::Builder Node::CallResults::Builder::getResult() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallResult>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallResult::Builder Node::CallResults::Builder::getResult() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::CallResult::Pipeline Node::CallResults::Pipeline::getResult() {
-  return  ::camphorhoist::rpc::CallResult::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::rpc::CallResult::Pipeline Node::CallResults::Pipeline::getResult() {
+  return ::camphorhoist::rpc::CallResult::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::CallResults::Builder::setResult( ::camphorhoist::rpc::CallResult::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallResult>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::CallResults::Builder::setResult(::camphorhoist::rpc::CallResult::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::rpc::CallResult::Builder Node::CallResults::Builder::initResult() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallResult>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallResult::Builder Node::CallResults::Builder::initResult() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::CallResults::Builder::adoptResult(
-    ::capnp::Orphan< ::camphorhoist::rpc::CallResult>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallResult>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::camphorhoist::rpc::CallResult>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::CallResult> Node::CallResults::Builder::disownResult() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallResult>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::CallResult> Node::CallResults::Builder::disownResult() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallResult>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::ResolveCallParams::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::ResolveCallParams::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::rpc::CallId::Reader Node::ResolveCallParams::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallId::Reader Node::ResolveCallParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::CallId::Builder Node::ResolveCallParams::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallId::Builder Node::ResolveCallParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::CallId::Pipeline Node::ResolveCallParams::Pipeline::getId() {
-  return  ::camphorhoist::rpc::CallId::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::rpc::CallId::Pipeline Node::ResolveCallParams::Pipeline::getId() {
+  return ::camphorhoist::rpc::CallId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::ResolveCallParams::Builder::setId( ::camphorhoist::rpc::CallId::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::ResolveCallParams::Builder::setId(::camphorhoist::rpc::CallId::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::rpc::CallId::Builder Node::ResolveCallParams::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::CallId::Builder Node::ResolveCallParams::Builder::initId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::ResolveCallParams::Builder::adoptId(
-    ::capnp::Orphan< ::camphorhoist::rpc::CallId>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::camphorhoist::rpc::CallId>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::CallId> Node::ResolveCallParams::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::CallId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::CallId> Node::ResolveCallParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::CallId>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::ResolveCallParams::Reader::getTargetIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Node::ResolveCallParams::Reader::getTargetIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Node::ResolveCallParams::Builder::getTargetIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Node::ResolveCallParams::Builder::getTargetIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::ResolveCallParams::Builder::setTargetIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Node::ResolveCallParams::Builder::setTargetIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::camphorhoist::rpc::Node::CallState Node::ResolveCallResults::Reader::getState() const {
-  return _reader.getDataField< ::camphorhoist::rpc::Node::CallState>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::camphorhoist::rpc::Node::CallState Node::ResolveCallResults::Reader::getState() const {
+  return _reader.getDataField<::camphorhoist::rpc::Node::CallState>(::capnp::bounded<0>() *
+                                                                    ::capnp::ELEMENTS);
 }
 
-inline  ::camphorhoist::rpc::Node::CallState Node::ResolveCallResults::Builder::getState() {
-  return _builder.getDataField< ::camphorhoist::rpc::Node::CallState>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::camphorhoist::rpc::Node::CallState Node::ResolveCallResults::Builder::getState() {
+  return _builder.getDataField<::camphorhoist::rpc::Node::CallState>(::capnp::bounded<0>() *
+                                                                     ::capnp::ELEMENTS);
 }
-inline void Node::ResolveCallResults::Builder::setState( ::camphorhoist::rpc::Node::CallState value) {
-  _builder.setDataField< ::camphorhoist::rpc::Node::CallState>(
+inline void Node::ResolveCallResults::Builder::setState(
+    ::camphorhoist::rpc::Node::CallState value) {
+  _builder.setDataField<::camphorhoist::rpc::Node::CallState>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Node::PullConfigParams::Reader::hasVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::PullConfigParams::Builder::hasVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::rpc::Version::Reader Node::PullConfigParams::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Reader Node::PullConfigParams::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::Version::Builder Node::PullConfigParams::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Builder Node::PullConfigParams::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::Version::Pipeline Node::PullConfigParams::Pipeline::getVersion() {
-  return  ::camphorhoist::rpc::Version::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::rpc::Version::Pipeline Node::PullConfigParams::Pipeline::getVersion() {
+  return ::camphorhoist::rpc::Version::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::PullConfigParams::Builder::setVersion( ::camphorhoist::rpc::Version::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::PullConfigParams::Builder::setVersion(
+    ::camphorhoist::rpc::Version::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::rpc::Version::Builder Node::PullConfigParams::Builder::initVersion() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Builder Node::PullConfigParams::Builder::initVersion() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::PullConfigParams::Builder::adoptVersion(
-    ::capnp::Orphan< ::camphorhoist::rpc::Version>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::camphorhoist::rpc::Version>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::Version> Node::PullConfigParams::Builder::disownVersion() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::Version>
+Node::PullConfigParams::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::PullConfigParams::Reader::hasHash() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::PullConfigParams::Builder::hasHash() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::PullConfigParams::Reader::getHash() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Node::PullConfigParams::Reader::getHash() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::PullConfigParams::Builder::getHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Node::PullConfigParams::Builder::getHash() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::PullConfigParams::Builder::setHash( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Node::PullConfigParams::Builder::setHash(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::PullConfigParams::Builder::initHash(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Node::PullConfigParams::Builder::initHash(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::PullConfigParams::Builder::adoptHash(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::PullConfigParams::Builder::adoptHash(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::PullConfigParams::Builder::disownHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Node::PullConfigParams::Builder::disownHash() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Node::PullConfigResults::Reader::hasVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::PullConfigResults::Builder::hasVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::rpc::Version::Reader Node::PullConfigResults::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Reader Node::PullConfigResults::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::Version::Builder Node::PullConfigResults::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Builder Node::PullConfigResults::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::Version::Pipeline Node::PullConfigResults::Pipeline::getVersion() {
-  return  ::camphorhoist::rpc::Version::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::rpc::Version::Pipeline Node::PullConfigResults::Pipeline::getVersion() {
+  return ::camphorhoist::rpc::Version::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::PullConfigResults::Builder::setVersion( ::camphorhoist::rpc::Version::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::PullConfigResults::Builder::setVersion(
+    ::camphorhoist::rpc::Version::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::rpc::Version::Builder Node::PullConfigResults::Builder::initVersion() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Builder Node::PullConfigResults::Builder::initVersion() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::PullConfigResults::Builder::adoptVersion(
-    ::capnp::Orphan< ::camphorhoist::rpc::Version>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::camphorhoist::rpc::Version>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::Version> Node::PullConfigResults::Builder::disownVersion() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::Version>
+Node::PullConfigResults::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::PullConfigResults::Reader::hasHash() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::PullConfigResults::Builder::hasHash() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::PullConfigResults::Reader::getHash() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Node::PullConfigResults::Reader::getHash() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::PullConfigResults::Builder::getHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Node::PullConfigResults::Builder::getHash() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::PullConfigResults::Builder::setHash( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Node::PullConfigResults::Builder::setHash(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::PullConfigResults::Builder::initHash(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Node::PullConfigResults::Builder::initHash(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::PullConfigResults::Builder::adoptHash(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::PullConfigResults::Builder::adoptHash(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::PullConfigResults::Builder::disownHash() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Node::PullConfigResults::Builder::disownHash() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Node::PullConfigResults::Reader::getFull() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Node::PullConfigResults::Builder::getFull() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Node::PullConfigResults::Builder::setFull(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Node::PullConfigResults::Reader::hasChanges() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::PullConfigResults::Builder::hasChanges() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>::Reader Node::PullConfigResults::Reader::getChanges() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>::Builder Node::PullConfigResults::Builder::getChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Node::PullConfigResults::Builder::setChanges( ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>::Builder Node::PullConfigResults::Builder::initChanges(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>::Reader
+Node::PullConfigResults::Reader::getChanges() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>::Builder
+Node::PullConfigResults::Builder::getChanges() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Node::PullConfigResults::Builder::setChanges(
+    ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>::Builder
+Node::PullConfigResults::Builder::initChanges(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void Node::PullConfigResults::Builder::adoptChanges(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>> Node::PullConfigResults::Builder::disownChanges() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::rpc::RecordChange,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>
+Node::PullConfigResults::Builder::disownChanges() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::rpc::RecordChange, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Node::FloorParams::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::FloorParams::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::FloorParams::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Node::FloorParams::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::FloorParams::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Node::FloorParams::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::FloorParams::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::FloorParams::Builder::setAddress(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::FloorParams::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Node::FloorParams::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::FloorParams::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::FloorParams::Builder::adoptAddress(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::FloorParams::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Node::FloorParams::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::FloorResults::Reader::hasHighest() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::FloorResults::Builder::hasHighest() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::rpc::Version::Reader Node::FloorResults::Reader::getHighest() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Reader Node::FloorResults::Reader::getHighest() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::Version::Builder Node::FloorResults::Builder::getHighest() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Builder Node::FloorResults::Builder::getHighest() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::Version::Pipeline Node::FloorResults::Pipeline::getHighest() {
-  return  ::camphorhoist::rpc::Version::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::rpc::Version::Pipeline Node::FloorResults::Pipeline::getHighest() {
+  return ::camphorhoist::rpc::Version::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::FloorResults::Builder::setHighest( ::camphorhoist::rpc::Version::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::FloorResults::Builder::setHighest(::camphorhoist::rpc::Version::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::rpc::Version::Builder Node::FloorResults::Builder::initHighest() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Builder Node::FloorResults::Builder::initHighest() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void Node::FloorResults::Builder::adoptHighest(
-    ::capnp::Orphan< ::camphorhoist::rpc::Version>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::camphorhoist::rpc::Version>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::Version> Node::FloorResults::Builder::disownHighest() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::Version> Node::FloorResults::Builder::disownHighest() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Node::FloorResults::Reader::hasReported() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::FloorResults::Builder::hasReported() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::rpc::Version::Reader Node::FloorResults::Reader::getReported() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Reader Node::FloorResults::Reader::getReported() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::rpc::Version::Builder Node::FloorResults::Builder::getReported() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Builder Node::FloorResults::Builder::getReported() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::rpc::Version::Pipeline Node::FloorResults::Pipeline::getReported() {
-  return  ::camphorhoist::rpc::Version::Pipeline(_typeless.getPointerField(1));
+inline ::camphorhoist::rpc::Version::Pipeline Node::FloorResults::Pipeline::getReported() {
+  return ::camphorhoist::rpc::Version::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Node::FloorResults::Builder::setReported( ::camphorhoist::rpc::Version::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Node::FloorResults::Builder::setReported(::camphorhoist::rpc::Version::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::rpc::Version::Builder Node::FloorResults::Builder::initReported() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::camphorhoist::rpc::Version::Builder Node::FloorResults::Builder::initReported() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Node::FloorResults::Builder::adoptReported(
-    ::capnp::Orphan< ::camphorhoist::rpc::Version>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::camphorhoist::rpc::Version>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::rpc::Version> Node::FloorResults::Builder::disownReported() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::rpc::Version>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::rpc::Version> Node::FloorResults::Builder::disownReported() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::rpc::Version>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-}  // namespace
-}  // namespace
+}  // namespace rpc
+}  // namespace camphorhoist
 
 CAPNP_END_HEADER
-
--- a/src/standin_upstream/main.cc
+++ b/src/standin_upstream/main.cc
@@ -12,8 +12,8 @@
 
 #include "libbase/event_ptr.h"
 #include "libbase/log.h"
+#include "libbase/precise_event_base.h"
 #include "libcaller/caller_server.h"
-#include "libcaller/precise_event_base.h"
 #include "standin_upstream/announcer.h"
 #include "standin_upstream/service.h"
 #include "standin_upstream/settings.h"
