--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
 # Builds everything and runs the tests. Tests named in KNOWN-RED.txt are printed and passed over.
-# BUILD_DIR and CMAKE_ARGS choose another build.
+# BUILD_DIR and CMAKE_ARGS choose another build, JOBS limits the number of parallel compilations.
 set -eu
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
 # shellcheck disable=SC2086
 cmake -S . -B "$build" -G Ninja ${CMAKE_ARGS:-} >/dev/null
-ninja -C "$build" --quiet
+ninja -C "$build" --quiet -j "${JOBS:-$(nproc)}"
 exclude=()
 if [ -s KNOWN-RED.txt ]; then
   known=$(sed -n 's/^test: //p' KNOWN-RED.txt | paste -sd'|')
--- a/src/camphorhoistd/upstream_task.cc
+++ b/src/camphorhoistd/upstream_task.cc
@@ -386,7 +386,8 @@
 }
 
 void UpstreamTask::Finish(Call* call, FinishKind kind, NodeCallResult result) {
-  const UpstreamPtr upstream = call->upstream();
+  // Stays valid below: an ended call is freed in a later turn.
+  Upstream* const upstream = call->upstream().get();
   const CallTime now = Now();
   const CallId id = call->id();
   const GateEffects effects = upstream->gate.OnFinish(now, id, now - call->started(), kind);
@@ -399,7 +400,7 @@
   result.service_micros = Micros(now - call->started());
   call->writer()->Done(std::move(result));
   Remove(id);
-  Carry(upstream.get(), effects);
+  Carry(upstream, effects);
 }
 
 void UpstreamTask::Remove(const CallId& id) {
