Share the flag parser of the stand-ins and the load tool

Cause: three programs set up popt the same way, and two of them stopped at the first unknown flag. Conclusion: ParseFlags reports every fault together.

--- a/src/camphorhoist_load/settings.cc
+++ b/src/camphorhoist_load/settings.cc
@@ -1,20 +1,14 @@
 #include "camphorhoist_load/settings.h"
 
-#include <popt.h>
-
 #include <cstdlib>
-#include <memory>
 #include <sstream>
 
+#include "libbase/flag_parser.h"
+
 namespace camphorhoist {
 
 namespace {
 
-struct ContextDeleter {
-  void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using ContextPtr = std::unique_ptr<poptContext_s, ContextDeleter>;
-
 struct RawSettings {
   char* target = nullptr;
   char* mix = nullptr;
@@ -82,7 +76,6 @@
 
 std::optional<LoadSettings> ReadLoadSettings(int argc, const char** argv, Findings* findings) {
   RawSettings raw;
-  int help = 0;
   const poptOption options[] = {
       {"target", 0, POPT_ARG_STRING, &raw.target, 0, "where to send", "IP:PORT[,...]"},
       {"rate", 0, POPT_ARG_DOUBLE, &raw.rate, 0, "requests per second", "N"},
@@ -100,17 +93,8 @@
       {"json", 0, POPT_ARG_STRING, &raw.json, 0, "file for the JSON report", "FILE"},
       {"check-ledger", 0, POPT_ARG_STRING, &raw.ledgers, 0, "ledgers to compare with",
        "URL|file:PATH,..."},
-      {"help", '?', POPT_ARG_NONE, &help, 0, "print this text", nullptr},
       POPT_TABLEEND};
-  const ContextPtr context(poptGetContext("camphorhoist_load", argc, argv, options, 0));
-  const int rc = poptGetNextOpt(context.get());
-  if (rc < -1) findings->Add(poptBadOption(context.get(), 0), poptStrerror(rc));
-  const char* extra = poptGetArg(context.get());
-  if (extra != nullptr) findings->Add(extra, "is not a flag");
-  if (help != 0) {
-    poptPrintHelp(context.get(), stdout, 0);
-    return std::nullopt;
-  }
+  if (!ParseFlags("camphorhoist_load", argc, argv, options, findings)) return std::nullopt;
   return Convert(raw, findings);
 }
 
--- a/src/standin_platform/main.cc
+++ b/src/standin_platform/main.cc
@@ -1,14 +1,16 @@
 // Stand-in for the platform's object API, see docs/operators/platform.md.
 
-#include <popt.h>
 #include <signal.h>
 
+#include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 
 #include "camphorhoist/finding.h"
 #include "camphorhoist/net_address.h"
 #include "libbase/event_ptr.h"
+#include "libbase/flag_parser.h"
 #include "libbase/log.h"
 #include "standin_platform/platform_server.h"
 
@@ -24,8 +26,6 @@
   std::string log_level = "info";
 };
 
-enum Option { kListen = 1, kLogLevel };
-
 // Runs until the event loop is stopped from the signal handler.
 struct Program {
   event_base* base;
@@ -38,34 +38,21 @@
   program->server->Stop([base] { event_base_loopbreak(base); });
 }
 
-void TakeOption(int option, const std::string& value, Settings* settings) {
-  if (option == kListen) settings->listen = value;
-  if (option == kLogLevel) settings->log_level = value;
-}
-
-Settings ParseArguments(int argc, const char** argv, Findings* findings) {
+/// Nothing if help was asked for.
+std::optional<Settings> ParseArguments(int argc, const char** argv, Findings* findings) {
   Settings settings;
+  char* listen = nullptr;
+  char* log_level = nullptr;
   const poptOption options[] = {
-      {"listen", 0, POPT_ARG_STRING, nullptr, kListen, "address to listen on", "IP:PORT"},
-      {"log-level", 0, POPT_ARG_STRING, nullptr, kLogLevel, "debug, info, warn or error", "LEVEL"},
-      POPT_AUTOHELP POPT_TABLEEND};
-  poptContext context = poptGetContext("standin_platform", argc, argv, options, 0);
-  for (int i = 0; i <= argc; ++i) {
-    const int option = poptGetNextOpt(context);
-    if (option == -1) break;
-    if (option < -1) {
-      findings->Add(poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(option));
-      continue;
-    }
-    char* value = poptGetOptArg(context);
-    TakeOption(option, value, &settings);
-    free(value);  // NOLINT(cppcoreguidelines-no-malloc): allocated by popt
-  }
-  const char** rest = poptGetArgs(context);
-  for (; rest != nullptr && *rest != nullptr; ++rest) {
-    findings->Add(*rest, "is not a known argument");
-  }
-  poptFreeContext(context);
+      {"listen", 0, POPT_ARG_STRING, &listen, 0, "address to listen on", "IP:PORT"},
+      {"log-level", 0, POPT_ARG_STRING, &log_level, 0, "debug, info, warn or error", "LEVEL"},
+      POPT_TABLEEND};
+  const bool run = ParseFlags("standin_platform", argc, argv, options, findings);
+  if (listen != nullptr) settings.listen = listen;
+  if (log_level != nullptr) settings.log_level = log_level;
+  std::free(listen);
+  std::free(log_level);
+  if (!run) return std::nullopt;
   return settings;
 }
 
@@ -91,7 +78,9 @@
 int Main(int argc, const char** argv) {
   signal(SIGPIPE, SIG_IGN);
   Findings findings;
-  const Settings settings = ParseArguments(argc, argv, &findings);
+  const std::optional<Settings> parsed = ParseArguments(argc, argv, &findings);
+  if (!parsed) return kExitOk;
+  const Settings& settings = *parsed;
   const auto address = NetAddress::Parse(settings.listen);
   if (!address) findings.Add("--listen", "must be IP:PORT, is \"" + settings.listen + "\"");
   ConfigureLogging(settings.log_level, "standin_platform", "--log-level", &findings);
--- a/src/standin_upstream/settings.cc
+++ b/src/standin_upstream/settings.cc
@@ -1,20 +1,14 @@
 #include "standin_upstream/settings.h"
 
-#include <popt.h>
-
 #include <cstdlib>
-#include <memory>
 #include <sstream>
 
+#include "libbase/flag_parser.h"
+
 namespace camphorhoist {
 
 namespace {
 
-struct ContextDeleter {
-  void operator()(poptContext context) const { poptFreeContext(context); }
-};
-using ContextPtr = std::unique_ptr<poptContext_s, ContextDeleter>;
-
 struct RawSettings {
   char* listen = nullptr;
   char* service = nullptr;
@@ -87,7 +81,6 @@
 std::optional<StandinSettings> ReadStandinSettings(int argc, const char** argv,
                                                    Findings* findings) {
   RawSettings raw;
-  int help = 0;
   const poptOption options[] = {
       {"listen", 0, POPT_ARG_STRING, &raw.listen, 0, "address to listen on", "IP:PORT"},
       {"service", 0, POPT_ARG_STRING, &raw.service, 0, "announced service", "NAME"},
@@ -101,17 +94,8 @@
       {"seed", 0, POPT_ARG_LONGLONG, &raw.seed, 0, "seed of the service times", "N"},
       {"ledger", 0, POPT_ARG_STRING, &raw.ledger, 0, "file for the ledger", "FILE"},
       {"log-level", 0, POPT_ARG_STRING, &raw.log_level, 0, "debug, info, warn or error", "LEVEL"},
-      {"help", '?', POPT_ARG_NONE, &help, 0, "print this text", nullptr},
       POPT_TABLEEND};
-  const ContextPtr context(poptGetContext("standin_upstream", argc, argv, options, 0));
-  const int rc = poptGetNextOpt(context.get());
-  if (rc < -1) findings->Add(poptBadOption(context.get(), 0), poptStrerror(rc));
-  const char* extra = poptGetArg(context.get());
-  if (extra != nullptr) findings->Add(extra, "is not a flag");
-  if (help != 0) {
-    poptPrintHelp(context.get(), stdout, 0);
-    return std::nullopt;
-  }
+  if (!ParseFlags("standin_upstream", argc, argv, options, findings)) return std::nullopt;
   return Convert(raw, findings);
 }
 
