Do not give up connections after a pause of the own process

Cause: a process that was stopped for a second found its pings overdue on waking and closed connections whose replies lay unread in the sockets; finished calls became unknown. Ruled out: a longer ping timeout; it would delay the detection of silent connections for all.

--- a/src/camphorhoistd/config_task.cc
+++ b/src/camphorhoistd/config_task.cc
@@ -218,6 +218,8 @@
 
 void ConfigTask::LoadFromPlatform() {
   ++counters_.platform_loads;
+  // The load that ended may be the one whose callback is running.
+  ended_load_ = std::move(load_);
   load_ = std::make_unique<PlatformLoad>(this, replica_.current());
   load_->Start();
 }
--- a/src/camphorhoistd/config_task.h
+++ b/src/camphorhoistd/config_task.h
@@ -112,6 +112,7 @@
   /// first, and asks its peers for this.
   std::map<MemberId, ConfigVersion> reported_;
   std::unique_ptr<PlatformLoad> load_;
+  std::unique_ptr<PlatformLoad> ended_load_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Mailbox<MemberNews> inbox_;
   Timer tick_;
--- a/src/libnode/node_test.cc
+++ b/src/libnode/node_test.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "camphorhoist/error.h"
@@ -112,6 +113,7 @@
   CPPUNIT_TEST(ClosedPortIsNotSent);
   CPPUNIT_TEST(LostConnectionIsNotNotSent);
   CPPUNIT_TEST(SilentConnectionIsReportedAndResolvable);
+  CPPUNIT_TEST(AnswerDuringOwnPauseIsTaken);
   CPPUNIT_TEST(CancelReachesThePeer);
   CPPUNIT_TEST(WrongMeshIsRefused);
   CPPUNIT_TEST(BrokenMessageClosesOnlyItsConnection);
@@ -218,6 +220,25 @@
     CPPUNIT_ASSERT(next.result.inline_answer);
   }
 
+  // Guards against a process that was paused and, on waking, gives up connections whose replies lie
+  // unread in the sockets. The pause is a sleep of the only thread.
+  void AnswerDuringOwnPauseIsTaken() {
+    Relay relay(loop_->base(), server_->bound_address());
+    FakeHandler handler;
+    pool_->Call(relay.address(), false, Request("/hold"), &handler);
+    WaitFor([&] { return !service_.requests.empty(); });
+    relay.FreezeOpenConnections();
+    // Long enough for a ping to be sent, too short for it to be given up.
+    RunFor(PeerPool::kQuietBeforePing + PeerPool::kPingTimeout / 3);
+    relay.ResumeOpenConnections();
+    std::this_thread::sleep_for(2 * PeerPool::kPingTimeout);
+    RunFor(PeerPool::kQuietBeforePing);
+    CPPUNIT_ASSERT_EQUAL(0, handler.done);
+    FakeService::Finish(service_.writers[0].get(), NodeOutcome::kNotRun, "test");
+    WaitFor([&] { return handler.done == 1; });
+    CPPUNIT_ASSERT(handler.status == PeerCallStatus::kResult);
+  }
+
   void CancelReachesThePeer() {
     FakeHandler handler;
     const auto handle = pool_->Call(server_->bound_address(), false, Request("/hold"), &handler);
@@ -339,6 +360,11 @@
     return n == 0 || (n < 0 && errno == ECONNRESET);
   }
 
+  void RunFor(std::chrono::milliseconds duration) {
+    const auto end = std::chrono::steady_clock::now() + duration;
+    WaitFor([end] { return std::chrono::steady_clock::now() >= end; });
+  }
+
   void WaitFor(const std::function<bool()>& condition) {
     const auto limit = std::chrono::steady_clock::now() + kGiveUp;
     while (!condition()) {
--- a/src/libnode/peer_pool.cc
+++ b/src/libnode/peer_pool.cc
@@ -15,6 +15,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds kCheckPeriod{50};
+/// A check that comes later than this shows that this process was paused.
+constexpr std::chrono::milliseconds kPauseBetweenChecks{200};
 
 class IgnoreErrors final : public kj::TaskSet::ErrorHandler {
  public:
@@ -78,6 +80,8 @@
                 .eagerlyEvaluate([](kj::Exception&&) {});
     return false;
   }
+  /// Starts the wait for the reply to an open ping again.
+  void RestartPing(Clock::time_point now) { ping_sent_ = now; }
   /// Forgets a ping sent before the connection became idle.
   void ResetSilence() {
     if (ping_pending_) return;
@@ -262,6 +266,11 @@
 // A silent connection is given up; its calls are reported and not repeated here.
 void PeerPool::CheckConnections() {
   const auto now = Clock::now();
+  if (now - last_check_ > kPauseBetweenChecks) {
+    // Replies that came during the pause are still unread in the sockets.
+    for (const auto& it : connections_) it.second->RestartPing(now);
+  }
+  last_check_ = now;
   std::map<Connection*, std::vector<CallHandle>> busy;
   for (const auto& it : calls_) busy[it.second->connection.get()].push_back(it.first);
   for (const auto& it : busy) {
--- a/src/libnode/peer_pool.h
+++ b/src/libnode/peer_pool.h
@@ -108,6 +108,7 @@
   EventLoop* loop_;
   NodeIdentity identity_;
   CallHandle next_handle_ = 1;
+  std::chrono::steady_clock::time_point last_check_ = std::chrono::steady_clock::now();
   std::map<Key, std::shared_ptr<Connection>> connections_;
   std::map<CallHandle, std::unique_ptr<ActiveCall>> calls_;
   /// Calls and connections whose promises are destroyed in a later turn of the loop, because a
--- a/src/testing/relay_test.h
+++ b/src/testing/relay_test.h
@@ -35,6 +35,12 @@
       bufferevent_disable(it.second->outbound.get(), EV_READ | EV_WRITE);
     }
   }
+  void ResumeOpenConnections() {
+    for (const auto& it : pairs_) {
+      bufferevent_enable(it.second->inbound.get(), EV_READ | EV_WRITE);
+      bufferevent_enable(it.second->outbound.get(), EV_READ | EV_WRITE);
+    }
+  }
 
  private:
   struct Pair {
