Serve after a start only once the floor is settled

A restarted node took the first version that it heard of, possibly from a lagging peer, fetched it and served it, although it had a higher one in force before. The floor questions ended as soon as any version was heard. On the other hand a running node stopped its service whenever it heard of a version that it had not fetched yet, since the floor followed every announcement.

Distribution now fetches nothing after a start before the floor is settled: by an answer of the platform, by an accepted change of the node, or by a round of questions to up to 5 live members. A round with fewer answers than that stays open for 1 s, so that the first member known is not the only one asked, and at most 2 s. Versions in force at live members count as well. Members whose own floor is open answer with no version. The service, once begun, goes on.

Ruled out: timing the round during a pause of the process (answers wait unread) and taking an empty platform for a first start while members know versions.

--- a/include/camphorhoist/distribution.h
+++ b/include/camphorhoist/distribution.h
@@ -43,7 +43,7 @@
 /// Read the platform's head once. Ends with `OnHeadRead`.
 struct ReadHead {};
 
-/// Ask a peer for the highest version that it has seen and the one last reported for this node.
+/// Ask a peer for the highest version that it has heard of and the one last reported for this node.
 /// Ends with `OnFloor`.
 struct AskFloor {
   MemberId to;
@@ -68,6 +68,10 @@
 
 /// Rules by which one node learns of configuration versions, fetches them and passes them on.
 ///
+/// A process that starts does not know which version this node had in force before. It fetches and
+/// serves nothing until the floor is settled, by an answer of the platform or by a round of floor
+/// questions to live members (`floor_settled`), and then starts at the floor (P1).
+///
 /// Preconditions: `now` never decreases; `Tick` is called about every 100 ms. Thread safety: none;
 /// use from one thread.
 class Distribution {
@@ -94,16 +98,32 @@
   /// As `OnHeadRead`; a watch that ended without a change gives the unchanged version.
   DistributionEffects OnWatchResult(MemberTime now, std::mt19937_64& rng,
                                     std::optional<ConfigVersion> version);
-  /// Empty values if the peer did not answer.
+  /// Empty values if the peer did not answer. An answer after the end of the round still raises the
+  /// floor while the node does not serve.
   DistributionEffects OnFloor(MemberTime now, std::mt19937_64& rng, const MemberId& from,
                               std::optional<ConfigVersion> highest,
                               std::optional<ConfigVersion> reported);
 
   /// The version in force.
   const ConfigVersion& current() const { return current_; }
-  /// The highest version known to exist anywhere; this node must not serve below it after a restart
-  /// (see `Replica`).
+  /// The highest version known to exist anywhere. A node that does not serve yet must not put a
+  /// lower one in force (see `Replica`).
   const ConfigVersion& floor() const { return floor_; }
+  /// True once `floor()` covers what this node had in force before its start, as far as it can be
+  /// told. Any of these settles it, for the life of the process:
+  /// - the platform answered a head read or a watch with a version, or accepted a change of this
+  ///   node;
+  /// - a round of questions to up to 5 live members ended with a version known: all answered, or
+  ///   the round timed out with at least one answer that knows a version;
+  /// - the platform has no configuration, and a whole round found nobody who knows a version (the
+  ///   first start of a mesh).
+  bool floor_settled() const { return floor_settled_; }
+  /// What this node answers to a floor question of a peer; none while its own floor is not settled,
+  /// since what it merely heard since its start may be old.
+  ConfigVersion FloorAnswer() const { return floor_settled_ ? floor_ : ConfigVersion(); }
+  /// True once the floor was settled with a version at or above it in force. Stays true: from then
+  /// on the version only rises, and a newer one that is not fetched yet does not stop the service.
+  bool may_serve() const { return may_serve_; }
   /// True once at least one source (peer or platform) told a floor since the start.
   bool floor_known() const { return floor_known_; }
   bool watching() const { return watching_; }
@@ -115,6 +135,16 @@
     std::string data_centre;
     ConfigVersion version;
   };
+  /// Open questions about the floor.
+  struct FloorRound {
+    MemberTime opened;
+    std::set<MemberId> asked;
+    std::set<MemberId> answered;
+    /// Did not answer; another member is asked instead.
+    std::set<MemberId> failed;
+    /// Answered with a version.
+    std::set<MemberId> informed;
+  };
 
   void Learn(MemberTime now, const ConfigVersion& version);
   void Confirm(MemberTime at);
@@ -127,6 +157,13 @@
   void UpdateWatch(MemberTime now, DistributionEffects* out);
   void ConsiderHeadRead(MemberTime now, std::mt19937_64& rng, DistributionEffects* out);
   void StartUp(MemberTime now, std::mt19937_64& rng, DistributionEffects* out);
+  void AskFloors(MemberTime now, std::mt19937_64& rng, DistributionEffects* out);
+  bool RoundComplete(MemberTime now) const;
+  void CheckRound(MemberTime now, std::mt19937_64& rng);
+  void OnPlatformAnswer(MemberTime now, const ConfigVersion& version);
+  void SettleFloor(MemberTime now);
+  void SettleFirstStart(MemberTime now);
+  void UpdateServing();
   void FailedPlatform(MemberTime now, std::mt19937_64& rng);
   std::optional<MemberId> PickHolder(std::mt19937_64& rng) const;
   std::vector<MemberId> LivePeers(bool own_data_centre) const;
@@ -164,6 +201,12 @@
   std::optional<MemberTime> started_;
   std::optional<MemberTime> last_tick_;
   MemberTime next_floor_;
+  std::optional<FloorRound> floor_round_;
+  bool platform_is_empty_ = false;
+  /// The last whole round found no member that knows a version.
+  bool nobody_knows_ = false;
+  bool floor_settled_ = false;
+  bool may_serve_ = false;
 };
 
 }  // namespace camphorhoist
--- a/src/libmember/config_mesh_fake.h
+++ b/src/libmember/config_mesh_fake.h
@@ -14,6 +14,16 @@
 
 namespace camphorhoist {
 
+/// The effects of one type.
+template <typename Effect>
+std::vector<Effect> Only(const DistributionEffects& effects) {
+  std::vector<Effect> found;
+  for (const DistributionEffect& it : effects) {
+    if (const auto* effect = std::get_if<Effect>(&it)) found.push_back(*effect);
+  }
+  return found;
+}
+
 /// `MeshFake` with a `Distribution` per member and a platform that holds one version. Pulls, floor
 /// questions and platform reads are answered after one tick.
 class ConfigMeshFake {
@@ -26,7 +36,7 @@
   ConfigVersion head;
   /// Returns true if the member can reach the platform.
   std::function<bool(const MemberId&)> platform_reachable = [](const MemberId&) { return true; };
-  /// Set if any member went to a lower version.
+  /// Set if any member went to a lower version, or served one after a restart.
   bool went_back = false;
   uint64_t platform_reads = 0;
   uint64_t platform_pulls = 0;
@@ -82,6 +92,12 @@
     while (mesh.now() < end) Step();
   }
 
+  /// True if the member serves at `version`.
+  bool Serves(const MemberId& id, const ConfigVersion& version) const {
+    const Distribution& it = rules_.at(id);
+    return it.may_serve() && it.current() == version;
+  }
+
   bool RunUntil(const std::function<bool()>& done, MeshFake::Duration limit) {
     const MemberTime end = mesh.now() + limit;
     while (!done()) {
@@ -148,6 +164,11 @@
     auto& node = mesh.node(id);
     const ConfigVersion& version = rules(id).current();
     if (const auto at = rules(id).head_confirmed()) node.membership->SetHeadConfirmed(*at);
+    if (rules(id).may_serve()) {
+      ConfigVersion& served = served_[id];
+      went_back = went_back || version < served;
+      served = std::max(served, version);
+    }
     if (version == node.self.version) return;
     went_back = went_back || version < node.self.version;
     node.self.version = version;
@@ -167,7 +188,9 @@
       std::optional<ConfigVersion> got;
       if (!effect.from && platform_reachable(id)) got = head;
       if (effect.from && Connected(id, *effect.from)) got = rules(*effect.from).current();
-      const bool newer = got && *got > rules(id).current();
+      // As `Replica` does, a member that does not serve yet refuses what is below its floor.
+      const bool newer =
+          got && *got > rules(id).current() && (rules(id).may_serve() || *got >= rules(id).floor());
       Perform(id, rules(id).OnPullDone(
                       mesh.now(), mesh.rng(), newer ? PullResult::kApplied : PullResult::kFailed,
                       newer ? *got : ConfigVersion(), newer ? HashOf(*got) : std::string()));
@@ -195,12 +218,14 @@
     tasks_.push_back([this, id, effect] {
       if (!mesh.Running(id)) return;
       std::optional<ConfigVersion> highest;
-      if (Connected(id, effect.to)) highest = rules(effect.to).floor();
+      if (Connected(id, effect.to)) highest = rules(effect.to).FloorAnswer();
       Perform(id, rules(id).OnFloor(mesh.now(), mesh.rng(), effect.to, highest, std::nullopt));
     });
   }
 
   std::map<MemberId, Distribution> rules_;
+  /// Highest version that each member served, restarts included.
+  std::map<MemberId, ConfigVersion> served_;
   std::map<MemberId, std::pair<ConfigVersion, MemberTime>> watches_;
   std::vector<Task> tasks_;
 };
--- a/src/libmember/distribution.cc
+++ b/src/libmember/distribution.cc
@@ -23,7 +23,14 @@
 constexpr seconds kFirstBackoff{1};
 constexpr int kMaxBackoffDoublings = 4;
 constexpr size_t kFloorPeers = 5;
+// With a join of at most 1 s and a pull, a node with answering peers serves after about 3 s.
 constexpr seconds kFloorRound{2};
+// The first member that a node learns of may be the one that lags. A round with fewer than
+// kFloorPeers answers stays open this long for members that become known after it.
+constexpr seconds kFloorGather{1};
+// A longer gap between ticks means that the process was paused. Answers may then wait unread, so
+// that the time for them is not over.
+constexpr seconds kPauseGap{1};
 // After a start of 120 nodes at a time, a node knows a third of the others after 3 s and nearly all
 // after 8 s. Until then it takes no duty, and its share of the reads grows with its knowledge.
 constexpr seconds kViewSettles{10};
@@ -128,6 +135,7 @@
   if (!pull_open_) {
     // The answer to a pull that was given up; an applied version counts nevertheless.
     if (result == PullResult::kApplied) ApplyVersion(rng, version, hash, &out);
+    UpdateServing();
     return out;
   }
   pull_open_ = false;
@@ -145,6 +153,7 @@
       PullFailed(now, rng);
       break;
   }
+  UpdateServing();
   ConsiderPull(now, rng, &out);
   return out;
 }
@@ -174,7 +183,9 @@
 DistributionEffects Distribution::OnApplied(MemberTime now, std::mt19937_64& rng,
                                             const ConfigVersion& version, const std::string& hash) {
   DistributionEffects out;
+  OnPlatformAnswer(now, version);
   ApplyVersion(rng, version, hash, &out);
+  UpdateServing();
   ConsiderPull(now, rng, &out);
   return out;
 }
@@ -217,6 +228,8 @@
 }
 
 void Distribution::ConsiderPull(MemberTime now, std::mt19937_64& rng, DistributionEffects* out) {
+  // A version that is fetched before the floor is settled may be below what this node had.
+  if (!floor_settled_) return;
   if (pull_open_ || target_ <= current_ || target_ <= rejected_ || now < next_pull_) return;
   if (failed_pulls_ < kPeerPullsBeforePlatform) {
     const auto holder = PickHolder(rng);
@@ -245,10 +258,8 @@
     FailedPlatform(now, rng);
     return out;
   }
-  platform_failures_ = 0;
-  floor_known_ = true;
-  Confirm(now);
-  Learn(now, *version);
+  OnPlatformAnswer(now, *version);
+  UpdateServing();
   ConsiderPull(now, rng, &out);
   return out;
 }
@@ -260,10 +271,8 @@
   watching_ = false;
   if (!started_) started_ = now;
   if (version) {
-    platform_failures_ = 0;
-    floor_known_ = true;
-    Confirm(now);
-    Learn(now, *version);
+    OnPlatformAnswer(now, *version);
+    UpdateServing();
     next_watch_ = now;
   } else {
     FailedPlatform(now, rng);
@@ -279,15 +288,22 @@
                                           std::optional<ConfigVersion> highest,
                                           std::optional<ConfigVersion> reported) {
   DistributionEffects out;
-  if (!highest && !reported) return out;
+  const bool answered = highest || reported;
   const ConfigVersion floor =
       std::max(highest.value_or(ConfigVersion()), reported.value_or(ConfigVersion()));
+  if (floor_round_ && floor_round_->asked.count(from) > 0) {
+    (answered ? floor_round_->answered : floor_round_->failed).insert(from);
+    // What was reported for this node only raises the floor; it says nothing of the others.
+    if (highest && !highest->none()) floor_round_->informed.insert(from);
+  }
   // A peer that knows no version proves nothing: it may have been restarted as well.
-  if (floor.none()) return out;
-  floor_known_ = true;
-  // The peer may hold what it has seen; if not, the pull moves on to known holders.
-  if (floor > target_) announcer_ = from;
-  Learn(now, floor);
+  if (!floor.none()) {
+    floor_known_ = true;
+    // The peer may hold what it has seen; if not, the pull moves on to known holders.
+    if (floor > target_) announcer_ = from;
+    Learn(now, floor);
+  }
+  UpdateServing();
   ConsiderPull(now, rng, &out);
   return out;
 }
@@ -326,15 +342,11 @@
   out->push_back(ReadHead{});
 }
 
-// Without any configuration: the peers are asked for the floor every round, and the platform at a
-// rate that is shared by all nodes of the data centre in the same position.
+// Without a settled floor or any configuration: the peers are asked for the floor every round, and
+// the platform at a rate that is shared by all nodes of the data centre in the same position.
 void Distribution::StartUp(MemberTime now, std::mt19937_64& rng, DistributionEffects* out) {
-  if (!current_.none() || target_ > current_) return;
-  if (now >= next_floor_) {
-    const auto peers = Sample(rng, LivePeers(false), kFloorPeers);
-    for (const MemberId& it : peers) out->push_back(AskFloor{it});
-    next_floor_ = now + kFloorRound + milliseconds(RandomIndex(rng, 1000));
-  }
+  if (floor_settled_ && (!current_.none() || target_ > current_)) return;
+  AskFloors(now, rng, out);
   // The first round is left to the peers.
   if (now - *started_ < kFloorRound || reading_ || now < next_platform_) return;
   const double settled = std::min(1.0, Seconds(now - *started_) / Seconds(kViewSettles));
@@ -345,15 +357,109 @@
   out->push_back(ReadHead{});
 }
 
+void Distribution::AskFloors(MemberTime now, std::mt19937_64& rng, DistributionEffects* out) {
+  if (!floor_round_) {
+    if (now < next_floor_) return;
+    floor_round_.emplace();
+    floor_round_->opened = now;
+  }
+  FloorRound& round = *floor_round_;
+  const size_t pending = round.asked.size() - round.failed.size();
+  if (pending >= kFloorPeers) return;
+  // Members with a version in force have settled their own floor; the others hardly help.
+  std::vector<MemberId> informed;
+  std::vector<MemberId> others;
+  for (const MemberId& it : LivePeers(false)) {
+    if (round.asked.count(it) > 0) continue;
+    (peers_.at(it).version.none() ? others : informed).push_back(it);
+  }
+  // The round counts from its first question.
+  if (round.asked.empty() && informed.size() + others.size() > 0) round.opened = now;
+  const size_t wanted = kFloorPeers - pending;
+  std::vector<MemberId> chosen = Sample(rng, std::move(informed), wanted);
+  const auto rest = Sample(rng, std::move(others), wanted - chosen.size());
+  chosen.insert(chosen.end(), rest.begin(), rest.end());
+  for (const MemberId& it : chosen) {
+    round.asked.insert(it);
+    out->push_back(AskFloor{it});
+  }
+}
+
+bool Distribution::RoundComplete(MemberTime now) const {
+  const FloorRound& round = *floor_round_;
+  if (round.answered.size() >= kFloorPeers) return true;
+  if (round.asked.empty() || round.answered.size() < round.asked.size()) return false;
+  return now - round.opened >= kFloorGather;
+}
+
+void Distribution::CheckRound(MemberTime now, std::mt19937_64& rng) {
+  if (!floor_round_) return;
+  if (now - *last_tick_ > kPauseGap) {
+    floor_round_.reset();
+    next_floor_ = now;
+    return;
+  }
+  const bool complete = RoundComplete(now);
+  if (!complete && now - floor_round_->opened < kFloorRound) return;
+  const bool version_known = !floor_round_->informed.empty();
+  // A round without any live member is whole as well: there is nobody to ask.
+  nobody_knows_ = !version_known && (complete || floor_round_->asked.empty());
+  floor_round_.reset();
+  next_floor_ = now + milliseconds(RandomIndex(rng, 1000));
+  if (version_known) {
+    SettleFloor(now);
+  } else {
+    SettleFirstStart(now);
+  }
+}
+
+void Distribution::OnPlatformAnswer(MemberTime now, const ConfigVersion& version) {
+  platform_failures_ = 0;
+  floor_known_ = true;
+  Confirm(now);
+  Learn(now, version);
+  platform_is_empty_ = version.none();
+  if (platform_is_empty_) {
+    SettleFirstStart(now);
+  } else {
+    floor_settled_ = true;
+  }
+}
+
+// The versions that live members report count like answers: they cover a member that was not asked
+// or did not answer in time.
+void Distribution::SettleFloor(MemberTime now) {
+  if (floor_settled_) return;
+  ConfigVersion reported;
+  for (const auto& [id, peer] : peers_) {
+    if (unreachable_.count(peer.data_centre) == 0) reported = std::max(reported, peer.version);
+  }
+  if (reported > target_) announcer_.reset();
+  Learn(now, reported);
+  floor_settled_ = true;
+}
+
+// An empty platform alone proves nothing: its head may be lost while members have versions.
+void Distribution::SettleFirstStart(MemberTime now) {
+  if (platform_is_empty_ && nobody_knows_ && floor_.none()) SettleFloor(now);
+}
+
+void Distribution::UpdateServing() {
+  if (may_serve_) return;
+  may_serve_ = floor_settled_ && !current_.none() && current_ >= floor_;
+}
+
 DistributionEffects Distribution::Tick(MemberTime now, std::mt19937_64& rng) {
   DistributionEffects out;
   if (!started_) started_ = now;
   if (!last_tick_) last_tick_ = now;
   if (pull_open_ && now >= pull_deadline_) PullFailed(now, rng);
+  CheckRound(now, rng);
   ConsiderPull(now, rng, &out);
   UpdateWatch(now, &out);
   ConsiderHeadRead(now, rng, &out);
   StartUp(now, rng, &out);
+  UpdateServing();
   last_tick_ = now;
   return out;
 }
--- a/src/libmember/distribution_test.cc
+++ b/src/libmember/distribution_test.cc
@@ -21,15 +21,6 @@
 const ConfigVersion kV2(1, 2);
 const ConfigVersion kV5(1, 5);
 
-template <typename Effect>
-std::vector<Effect> Only(const DistributionEffects& effects) {
-  std::vector<Effect> found;
-  for (const DistributionEffect& it : effects) {
-    if (const auto* effect = std::get_if<Effect>(&it)) found.push_back(*effect);
-  }
-  return found;
-}
-
 class DistributionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DistributionTest);
   CPPUNIT_TEST(AnnouncesOnceToFewPeers);
@@ -77,6 +68,7 @@
   // Guards against a pull that hangs on one peer, and against a platform asked too early.
   void PullsFallBackToHoldersThenPlatform() {
     Distribution rules = Rules(6);
+    rules.OnApplied(now_, rng_, kV1, ConfigMeshFake::HashOf(kV1));
     auto pulls = Only<Pull>(Heard(&rules, kV2, 4));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, pulls.size());
     CPPUNIT_ASSERT(*pulls[0].from == MeshFake::Id(0, 4));
@@ -99,6 +91,7 @@
   // Guards against a loop of pulls of a version that the node cannot use.
   void RejectedVersionIsNotPulledAgain() {
     Distribution rules = Rules(6);
+    rules.OnApplied(now_, rng_, kV1, ConfigMeshFake::HashOf(kV1));
     CPPUNIT_ASSERT_EQUAL(size_t{1}, Only<Pull>(Heard(&rules, kV2, 4)).size());
     rules.OnPullDone(now_, rng_, PullResult::kRejected, kV2, "");
     CPPUNIT_ASSERT(Only<Pull>(Heard(&rules, kV2, 5)).empty());
