Hand calls a configuration only after the floor is settled

ConfigTask checks Replica::MayServe and Distribution::may_serve, raises the floor of the replica only until the node serves, and waits 2 s (1 s before) for a floor answer, as long as a round lasts. The dump shows floor_settled.

--- a/src/camphorhoistd/config_task.cc
+++ b/src/camphorhoistd/config_task.cc
@@ -13,7 +13,8 @@
 constexpr std::chrono::milliseconds kTickPeriod{100};
 constexpr std::chrono::seconds kWatchTimeout{30};
 constexpr std::chrono::seconds kPullTimeout{5};
-constexpr std::chrono::seconds kFloorTimeout{1};
+/// As long as a round of floor questions: a late answer still counts.
+constexpr std::chrono::seconds kFloorTimeout{2};
 /// Addresses remembered with their reported version: three times the 3,300 nodes of the design
 /// size.
 constexpr size_t kMaxReported = 10000;
@@ -164,9 +165,9 @@
 
 void ConfigTask::Carry(const DistributionEffects& effects) {
   for (const DistributionEffect& it : effects) CarryOne(it);
-  const bool could_serve = replica_.MayServe();
-  replica_.RaiseFloor(distribution_.floor());
-  if (could_serve != replica_.MayServe()) Publish();
+  // Once the node serves, a version that was only heard of must not stop it.
+  if (!distribution_.may_serve()) replica_.RaiseFloor(distribution_.floor());
+  if (serving_ != MayServe()) Publish();
   if (distribution_.head_confirmed()) member_->SetHeadConfirmed(*distribution_.head_confirmed());
 }
 
@@ -263,7 +264,8 @@
 void ConfigTask::Publish() {
   const Snapshot::Ptr& current = replica_.current();
   const auto& refusal = replica_.last_refusal();
-  listener_(replica_.MayServe() ? current : nullptr);
+  serving_ = MayServe();
+  listener_(serving_ ? current : nullptr);
   member_->PublishConfig(current->version(), current->version().none() ? "" : current->hash(),
                          refusal ? refusal->version.ToString() + ": " + refusal->reason : "");
 }
@@ -366,7 +368,7 @@
 
 FloorReply ConfigTask::OnFloor(const std::string& address) const {
   FloorReply reply;
-  reply.highest = replica_.floor();
+  reply.highest = distribution_.FloorAnswer();
   const auto id = NetAddress::Parse(address);
   const auto it = id ? reported_.find(*id) : reported_.end();
   if (it != reported_.end()) reply.reported = it->second;
--- a/src/camphorhoistd/config_task.h
+++ b/src/camphorhoistd/config_task.h
@@ -59,6 +59,8 @@
 
   const Replica& replica() const { return replica_; }
   const Distribution& distribution() const { return distribution_; }
+  /// True once calls may use the configuration in force.
+  bool MayServe() const { return replica_.MayServe() && distribution_.may_serve(); }
 
   struct Counters {
     uint64_t pulls = 0;
@@ -103,6 +105,8 @@
   Distribution distribution_;
   Committer committer_;
   Counters counters_;
+  /// What the listener was last told.
+  bool serving_ = false;
   /// The head as last read: version of the object, and the configuration version it names.
   ObjectVersion head_object_version_ = 0;
   ConfigVersion head_version_;
--- a/src/camphorhoistd/dump.cc
+++ b/src/camphorhoistd/dump.cc
@@ -34,8 +34,9 @@
   const ConfigTask::Counters& counters = config.counters();
   Json json = {{"version", replica.current()->version().ToString()},
                {"hash", replica.current()->hash()},
-               {"floor", replica.floor().ToString()},
-               {"may_serve", replica.MayServe()},
+               {"floor", config.distribution().floor().ToString()},
+               {"floor_settled", config.distribution().floor_settled()},
+               {"may_serve", config.MayServe()},
                {"records", replica.current()->record_count()},
                {"watching", config.distribution().watching()},
                {"pulls", counters.pulls},
