List and select tests by short names in the test programs

Cause: a test could be run alone only by its full name with namespaces, and no program could tell which tests it has. An unknown name is now an error.

--- a/src/testing/test_main.cc
+++ b/src/testing/test_main.cc
@@ -1,17 +1,52 @@
-// Shared main() of the CppUnit test programs. With arguments, runs only the named tests.
+// Shared main() of the CppUnit test programs. Arguments are names of tests (`Suite::Test`) or
+// suites, of which only these run; `--list` prints the names of all tests and runs none.
 
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
+#include <cppunit/Test.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
-#include <cppunit/TestRunner.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
 #include <iostream>
+#include <memory>
+#include <string>
 
 #include "libbase/log.h"
 
+namespace {
+
+/// The last `parts` components of a name that has its namespaces in front.
+std::string ShortName(const std::string& name, int parts) {
+  size_t at = name.size();
+  for (int i = 0; i < parts && at != std::string::npos && at > 0; ++i)
+    at = name.rfind("::", at - 1);
+  return at == std::string::npos ? name : name.substr(at + 2);
+}
+
+void PrintNames(const CppUnit::Test& test) {
+  if (test.getChildTestCount() == 0) std::cout << ShortName(test.getName(), 2) << '\n';
+  for (int i = 0; i < test.getChildTestCount(); ++i) PrintNames(*test.getChildTestAt(i));
+}
+
+/// The test or suite with this name, or null.
+CppUnit::Test* FindTest(CppUnit::Test* test, const std::string& name) {
+  const int parts = test->getChildTestCount() == 0 ? 2 : 1;
+  if (test->getName() == name || ShortName(test->getName(), parts) == name) return test;
+  for (int i = 0; i < test->getChildTestCount(); ++i) {
+    if (CppUnit::Test* found = FindTest(test->getChildTestAt(i), name)) return found;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
+  const std::unique_ptr<CppUnit::Test> all(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  if (argc == 2 && std::string(argv[1]) == "--list") {
+    PrintNames(*all);
+    return 0;
+  }
   camphorhoist::Findings findings;
   camphorhoist::ConfigureLogging("error", "test", "log level", &findings);
   CppUnit::TestResult controller;
@@ -20,10 +55,15 @@
   controller.addListener(&collector);
   controller.addListener(&progress);
 
-  CppUnit::TestRunner runner;
-  runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-  if (argc == 1) runner.run(controller);
-  for (int i = 1; i < argc; ++i) runner.run(controller, argv[i]);
+  if (argc == 1) controller.runTest(all.get());
+  for (int i = 1; i < argc; ++i) {
+    CppUnit::Test* test = FindTest(all.get(), argv[i]);
+    if (test == nullptr) {
+      std::cerr << "no test or suite named " << argv[i] << '\n';
+      return 1;
+    }
+    controller.runTest(test);
+  }
 
   CppUnit::CompilerOutputter outputter(&collector, std::cerr);
   outputter.write();
