--- a/src/libnode/node_test.cc
+++ b/src/libnode/node_test.cc
@@ -14,94 +14,14 @@
 #include "libnode/datagram_socket.h"
 #include "libnode/node_server.h"
 #include "libnode/peer_pool.h"
+#include "libnode/testing/node_fakes.h"
 #include "testing/relay_test.h"
 
 namespace camphorhoist {
 namespace {
 
-constexpr size_t kLargeBytes = 8 << 20;
 /// Flow-control window plus what the layers on the way may hold.
 constexpr size_t kWindowBound = 512 << 10;
-constexpr std::chrono::seconds kGiveUp{20};
-
-/// Serves calls according to their target.
-class FakeService : public NodeService {
- public:
-  void OnCall(NodeCallRequest request, std::shared_ptr<AnswerWriter> writer) override {
-    requests.push_back(request);
-    writer->SetOnCancelled([this] { ++cancelled; });
-    writers.push_back(writer);
-    if (request.target == "/hold") return;
-    if (request.target == "/refuse") return Finish(writer.get(), NodeOutcome::kNotRun, "draining");
-    writer->Head(200, {{"X-Test", "1"}});
-    if (request.target == "/large") {
-      for (size_t sent = 0; sent < kLargeBytes; sent += kChunk) {
-        writer->Chunk(std::string(kChunk, static_cast<char>('a' + sent / kChunk % 26)));
-      }
-    } else {
-      writer->Chunk("echo " + request.body);
-    }
-    if (request.target != "/broken") writer->End();
-    Finish(writer.get(), NodeOutcome::kAnswered, "");
-  }
-  ResolveReply OnResolve(const CallId& id, uint64_t) override {
-    ResolveReply reply;
-    reply.state = id.counter() == 7 ? NodeCallState::kStarted : NodeCallState::kVoided;
-    return reply;
-  }
-  ConfigDeltaMessage OnPull(const ConfigVersion& version, const std::string& hash) override {
-    return {ConfigVersion(version.epoch(), version.number() + 1),
-            hash,
-            true,
-            {{"route", "r", 3, "{}"}}};
-  }
-  FloorReply OnFloor(const std::string&) override {
-    return {ConfigVersion(2, 9), ConfigVersion(2, 8)};
-  }
-
-  static void Finish(AnswerWriter* writer, NodeOutcome outcome, const std::string& reason) {
-    NodeCallResult result;
-    result.outcome = outcome;
-    result.reason = reason;
-    result.limit = 6;
-    writer->Done(result);
-  }
-
-  static constexpr size_t kChunk = 32 << 10;
-  std::vector<NodeCallRequest> requests;
-  std::vector<std::shared_ptr<AnswerWriter>> writers;
-  int cancelled = 0;
-};
-
-/// Collects one answer. With `hold` set, chunks are not released until `Release`.
-class FakeHandler : public AnswerHandler {
- public:
-  void OnHead(int code, HttpHeaders) override { status_code = code; }
-  void OnChunk(std::string data, std::function<void()> ready) override {
-    body += data;
-    if (!hold) return ready();
-    held.push_back(std::move(ready));
-  }
-  void OnEnd() override { ended = true; }
-  void OnDone(PeerCallStatus call_status, NodeCallResult call_result) override {
-    ++done;
-    status = call_status;
-    result = std::move(call_result);
-  }
-  void Release() {
-    hold = false;
-    for (auto& it : held) it();
-  }
-
-  bool hold = false;
-  std::vector<std::function<void()>> held;
-  int status_code = 0;
-  std::string body;
-  bool ended = false;
-  int done = 0;
-  PeerCallStatus status = PeerCallStatus::kResult;
-  NodeCallResult result;
-};
 
 class NodeTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(NodeTest);
@@ -113,6 +33,8 @@
   CPPUNIT_TEST(LostConnectionIsNotNotSent);
   CPPUNIT_TEST(SilentConnectionIsReportedAndResolvable);
   CPPUNIT_TEST(CancelReachesThePeer);
+  CPPUNIT_TEST(CancelBeforeReadyIsNeverSent);
+  CPPUNIT_TEST(CancelOnAReadyConnectionIsNeverSent);
   CPPUNIT_TEST(WrongMeshIsRefused);
   CPPUNIT_TEST(BrokenMessageClosesOnlyItsConnection);
   CPPUNIT_TEST(PullAndFloorCarryVersions);
@@ -227,6 +149,24 @@
     CPPUNIT_ASSERT_EQUAL(0, handler.done);
   }
 
+  // Guards P5: a call that its sender gave up before the connection was ready must not run later.
+  void CancelBeforeReadyIsNeverSent() {
+    FakeHandler dropped;
+    pool_->Cancel(pool_->Call(server_->bound_address(), false, Request("/hold"), &dropped));
+    EchoIsTheOnlyRequest();
+    CPPUNIT_ASSERT_EQUAL(0, dropped.done);
+  }
+
+  // The same for a call that is cancelled before the loop gets to send it.
+  void CancelOnAReadyConnectionIsNeverSent() {
+    EchoIsTheOnlyRequest();
+    service_.requests.clear();
+    FakeHandler dropped;
+    pool_->Cancel(pool_->Call(server_->bound_address(), false, Request("/hold"), &dropped));
+    EchoIsTheOnlyRequest();
+    CPPUNIT_ASSERT_EQUAL(0, dropped.done);
+  }
+
   // Guards against nodes of two meshes that exchange calls after an address was reused.
   void WrongMeshIsRefused() {
     PeerPool other(loop_.get(), Identity("other"));
@@ -300,24 +240,19 @@
   }
 
  private:
-  static NodeIdentity Identity(const std::string& mesh) {
-    return {mesh, NetAddress("127.0.0.1", 0), 42};
-  }
-
   void StartServer() {
     service_ = FakeService();
     server_ = std::make_unique<NodeServer>(loop_.get(), Identity("mesh"), &service_);
     CPPUNIT_ASSERT(!server_->Listen(NetAddress("127.0.0.1", 0)));
   }
 
-  static NodeCallRequest Request(const std::string& target) {
-    NodeCallRequest request;
-    request.id = CallId(1, 1);
-    request.target_incarnation = 42;
-    request.method = "POST";
-    request.target = target;
-    request.body = "body";
-    return request;
+  // A call made later on the same connection is sent after the earlier ones.
+  void EchoIsTheOnlyRequest() {
+    FakeHandler handler;
+    pool_->Call(server_->bound_address(), false, Request("/echo"), &handler);
+    WaitFor([&] { return handler.done == 1; });
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, service_.requests.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("/echo"), service_.requests[0].target);
   }
 
   NodeCallState Resolve(const NetAddress& address, const CallId& id) {
@@ -333,22 +268,7 @@
     return result.state;
   }
 
-  static bool ClosedByPeer(int fd) {
-    char buf[256];
-    const ssize_t n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno == ECONNRESET);
-  }
-
-  void WaitFor(const std::function<bool()>& condition) {
-    const auto limit = std::chrono::steady_clock::now() + kGiveUp;
-    while (!condition()) {
-      CPPUNIT_ASSERT_MESSAGE("condition not met in time", std::chrono::steady_clock::now() < limit);
-      auto paf = kj::newPromiseAndFulfiller<void>();
-      Timer timer(loop_->base(), [&paf] { paf.fulfiller->fulfill(); });
-      timer.StartOnce(std::chrono::milliseconds(1));
-      paf.promise.wait(loop_->wait_scope());
-    }
-  }
+  void WaitFor(const std::function<bool()>& condition) { WaitUntil(loop_.get(), condition); }
 
   std::unique_ptr<EventLoop> loop_;
   FakeService service_;
