--- a/bench/rpc_loop_bench.cc
+++ b/bench/rpc_loop_bench.cc
@@ -58,9 +58,9 @@
   EventLoop loop;
   std::error_code ec;
   const int listener = ListenSocket(NetAddress("127.0.0.1", 0), &ec);
-  auto client = ConnectSocket(loop.base(), BoundAddress(listener)).wait(loop.wait_scope());
+  auto client = ConnectSocket(&loop, BoundAddress(listener)).wait(loop.wait_scope());
   const int fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  SocketStream server(loop.base(), fd);
+  SocketStream server(&loop, fd);
   capnp::TwoPartyVatNetwork server_network(server, capnp::rpc::twoparty::Side::SERVER);
   auto server_rpc = capnp::makeRpcServer(server_network, kj::heap<EchoNode>());
   capnp::TwoPartyClient rpc_client(*client);
--- a/include/camphorhoist/distribution.h
+++ b/include/camphorhoist/distribution.h
@@ -64,6 +64,8 @@
 struct DistributionOptions {
   MemberId self;
   std::string data_centre;
+  /// Every node watches the head, as a baseline for measurements.
+  bool watch_always = false;
 };
 
 /// Rules by which one node learns of configuration versions, fetches them and passes them on.
--- a/scripts/mesh.py
+++ b/scripts/mesh.py
@@ -97,6 +97,7 @@
         self.processes = []
         self.platform = None
         self.nodes = []
+        self.nodes_started = 0
         self.upstreams = []
 
     def __enter__(self):
@@ -135,7 +136,9 @@
         ]
         if seeds:
             command.append("--seeds=" + ",".join(seeds))
-        node = self._start(f"node{len(self.nodes) + 1}", command + list(extra))
+        # A node that replaces one that was killed gets a log of its own.
+        self.nodes_started += 1
+        node = self._start(f"node{self.nodes_started}", command + list(extra))
         node.data_centre = data_centre
         self.nodes.append(node)
         return node
--- a/src/camphorhoistd/config_task.cc
+++ b/src/camphorhoistd/config_task.cc
@@ -132,7 +132,7 @@
       store_(store),
       peers_(peers),
       listener_(std::move(listener)),
-      distribution_({options.self, options.data_centre}),
+      distribution_({options.self, options.data_centre, options.watch_always}),
       committer_(base, store),
       inbox_(base, [this](const MemberNews& news) { OnNews(news); }),
       tick_(base, [this] { Carry(distribution_.Tick(Now(), *rng_)); }) {}
@@ -352,7 +352,8 @@
 }
 
 ConfigDeltaMessage ConfigTask::OnPull(const ConfigVersion& version, const std::string& hash) const {
-  if (const auto delta = replica_.DeltaFrom(version, hash)) return ToMessage(*delta, false);
+  const auto delta = options_.full_transfer ? std::nullopt : replica_.DeltaFrom(version, hash);
+  if (delta) return ToMessage(*delta, false);
   const Snapshot::Ptr& current = replica_.current();
   if (current->version() <= version) {
     // Nothing newer here; the asker sees that by the version.
--- a/src/camphorhoistd/config_task.h
+++ b/src/camphorhoistd/config_task.h
@@ -29,6 +29,10 @@
   struct Options {
     NetAddress self;
     std::string data_centre;
+    /// Baselines for measurements: watch whether elected or not, and answer pulls with the whole
+    /// configuration.
+    bool watch_always = false;
+    bool full_transfer = false;
   };
   /// Gets the configuration that calls use from now on; null while none may be served.
   using SnapshotListener = std::function<void(Snapshot::Ptr)>;
--- a/src/camphorhoistd/daemon.cc
+++ b/src/camphorhoistd/daemon.cc
@@ -76,8 +76,11 @@
   event_base* base = loop_.base();
   peers_ = std::make_unique<PeerPool>(&loop_, identity_);
   config_ = std::make_unique<ConfigTask>(
-      base, ConfigTask::Options{identity_.address, settings_.data_centre}, &rng_, &store_,
-      peers_.get(), [this](Snapshot::Ptr snapshot) { calls_->SetSnapshot(std::move(snapshot)); });
+      base,
+      ConfigTask::Options{identity_.address, settings_.data_centre, settings_.watch == "all",
+                          settings_.config_transfer == "full"},
+      &rng_, &store_, peers_.get(),
+      [this](Snapshot::Ptr snapshot) { calls_->SetSnapshot(std::move(snapshot)); });
   MembershipOptions member;
   member.mesh = settings_.mesh;
   member.self = identity_.address;
@@ -116,6 +119,7 @@
   sources.upstreams = upstreams_.get();
   sources.server = node_server_.get();
   sources.peers = peers_.get();
+  sources.traffic = &loop_.traffic();
   sources.platform = &store_.meter();
   sources.drain = [this] {
     if (!draining_) StartDraining();
--- a/src/camphorhoistd/dump.cc
+++ b/src/camphorhoistd/dump.cc
@@ -142,7 +142,9 @@
                      {"node_connections",
                       {{"inbound", sources.server->connections()},
                        {"outbound", sources.peers->connections()},
-                       {"rejected", sources.server->rejected()}}}};
+                       {"rejected", sources.server->rejected()},
+                       {"bytes_received", sources.traffic->bytes_received},
+                       {"bytes_sent", sources.traffic->bytes_sent}}}};
   return dump.dump();
 }
 
--- a/src/camphorhoistd/operator_task.h
+++ b/src/camphorhoistd/operator_task.h
@@ -10,6 +10,7 @@
 #include "camphorhoistd/member_task.h"
 #include "camphorhoistd/settings.h"
 #include "camphorhoistd/upstream_task.h"
+#include "libnode/event_loop.h"
 #include "libnode/node_server.h"
 #include "libplatform/budgeted_object_store.h"
 
@@ -30,6 +31,7 @@
     const UpstreamTask* upstreams = nullptr;
     const NodeServer* server = nullptr;
     const PeerPool* peers = nullptr;
+    const StreamTraffic* traffic = nullptr;
     const CallMeter* platform = nullptr;
     /// Starts the graceful stop of the process.
     std::function<void()> drain;
--- a/src/camphorhoistd/settings.cc
+++ b/src/camphorhoistd/settings.cc
@@ -138,6 +138,12 @@
 struct Admissions {
   static constexpr const char* kValues[] = {"default", "no_limit", "single_queue"};
 };
+struct Watches {
+  static constexpr const char* kValues[] = {"elected", "all"};
+};
+struct ConfigTransfers {
+  static constexpr const char* kValues[] = {"delta", "full"};
+};
 
 void ApplyHedging(const Source& source, Settings* settings, Findings* findings) {
   if (source.value != "on" && source.value != "off") {
@@ -176,6 +182,10 @@
     {"admission", "NAME", "default, or no_limit or single_queue as baselines", false,
      &ApplyChoice<&Settings::admission, Admissions>},
     {"hedging", "on|off", "hedging of idempotent calls (default on)", false, &ApplyHedging},
+    {"watch", "NODES", "elected nodes watch the platform, or all as a baseline", false,
+     &ApplyChoice<&Settings::watch, Watches>},
+    {"config-transfer", "FORM", "delta between peers, or full as a baseline", false,
+     &ApplyChoice<&Settings::config_transfer, ConfigTransfers>},
 };
 
 constexpr int kHelpValue = 1;
--- a/src/camphorhoistd/settings.h
+++ b/src/camphorhoistd/settings.h
@@ -38,6 +38,11 @@
   std::string balancer = "p2c";
   std::string admission = "default";
   bool hedging = true;
+  /// Which nodes watch the platform: `elected`, or `all` as a baseline.
+  std::string watch = "elected";
+  /// What peers send to a node that asks for a newer configuration: `delta`, or `full` as a
+  /// baseline.
+  std::string config_transfer = "delta";
 };
 
 enum class SettingsAction { kRun, kCheck, kHelp, kVersion };
--- a/src/camphorhoistd/settings_test.cc
+++ b/src/camphorhoistd/settings_test.cc
@@ -49,6 +49,8 @@
         {"--max-calls=0", "--max-calls"},
         {"--hedging=maybe", "--hedging"},
         {"--balancer=best", "--balancer"},
+        {"--watch=some", "--watch"},
+        {"--config-transfer=page", "--config-transfer"},
         {"--unknown", "--unknown"},
         {"stray", "stray"},
     };
--- a/src/libmember/distribution.cc
+++ b/src/libmember/distribution.cc
@@ -293,7 +293,9 @@
 }
 
 void Distribution::UpdateWatch(MemberTime now, DistributionEffects* out) {
-  if (members_changed_) {
+  if (options_.watch_always) {
+    elected_ = true;
+  } else if (members_changed_) {
     members_changed_ = false;
     std::vector<MemberId> candidates = LivePeers(true);
     candidates.push_back(options_.self);
--- a/src/libnode/event_loop.cc
+++ b/src/libnode/event_loop.cc
@@ -74,10 +74,11 @@
   EventPtr event_;
 };
 
-SocketStream::SocketStream(event_base* base, int fd)
+SocketStream::SocketStream(EventLoop* loop, int fd)
     : fd_(fd),
-      readable_(std::make_unique<Readiness>(base, fd, EV_READ)),
-      writable_(std::make_unique<Readiness>(base, fd, EV_WRITE)) {
+      traffic_(&loop->traffic()),
+      readable_(std::make_unique<Readiness>(loop->base(), fd, EV_READ)),
+      writable_(std::make_unique<Readiness>(loop->base(), fd, EV_WRITE)) {
   const int on = 1;
   ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
@@ -97,6 +98,7 @@
   while (done < min_bytes) {
     const ssize_t n = ::read(fd_, buffer + done, max_bytes - done);
     if (n > 0) {
+      traffic_->bytes_received += static_cast<uint64_t>(n);
       done += static_cast<size_t>(n);
     } else if (n == 0) {
       return done;
@@ -131,6 +133,7 @@
   while (done < data.size()) {
     const ssize_t n = send(fd_, data.begin() + done, data.size() - done, MSG_NOSIGNAL);
     if (n > 0) {
+      traffic_->bytes_sent += static_cast<uint64_t>(n);
       done += static_cast<size_t>(n);
     } else if (n < 0 && errno == EAGAIN) {
       return writable_->Wait().then(
@@ -184,7 +187,7 @@
 
 }  // namespace
 
-kj::Promise<kj::Own<SocketStream>> ConnectSocket(event_base* base, const NetAddress& address) {
+kj::Promise<kj::Own<SocketStream>> ConnectSocket(EventLoop* loop, const NetAddress& address) {
   auto pending = kj::heap<PendingSocket>(
       socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP));
   const sockaddr_in name = ToSockaddr(address);
@@ -192,14 +195,14 @@
       errno != EINPROGRESS) {
     return KJ_EXCEPTION(DISCONNECTED, "connect failed", strerror(errno));
   }
-  auto writable = pending->WaitWritable(base);
+  auto writable = pending->WaitWritable(loop->base());
   return writable.then(
-      [base, pending = kj::mv(pending)]() mutable -> kj::Promise<kj::Own<SocketStream>> {
+      [loop, pending = kj::mv(pending)]() mutable -> kj::Promise<kj::Own<SocketStream>> {
         int error = 0;
         socklen_t size = sizeof(error);
         getsockopt(pending->get(), SOL_SOCKET, SO_ERROR, &error, &size);
         if (error != 0) return KJ_EXCEPTION(DISCONNECTED, "connect failed", strerror(error));
-        return kj::heap<SocketStream>(base, pending->Release());
+        return kj::heap<SocketStream>(loop, pending->Release());
       });
 }
 
--- a/src/libnode/event_loop.h
+++ b/src/libnode/event_loop.h
@@ -5,6 +5,7 @@
 #include <kj/async.h>
 #include <netinet/in.h>
 
+#include <cstdint>
 #include <memory>
 #include <system_error>
 
@@ -25,6 +26,12 @@
   event_base* base_;
 };
 
+/// Bytes carried by the node connections of a process, of both directions of connecting.
+struct StreamTraffic {
+  uint64_t bytes_received = 0;
+  uint64_t bytes_sent = 0;
+};
+
 /// The event loop of a process that speaks Cap'n Proto RPC.
 ///
 /// Thread safety: none; create, run and destroy on one thread. Ignores SIGPIPE for the process.
@@ -37,6 +44,8 @@
 
   event_base* base() const { return base_.get(); }
   kj::WaitScope& wait_scope() { return wait_scope_; }
+  /// Counts the bytes of every `SocketStream` of this loop.
+  StreamTraffic& traffic() { return traffic_; }
 
   /// Runs until `Stop`. Does not wait for promises that are still pending.
   void Run();
@@ -45,6 +54,7 @@
 
  private:
   EventBasePtr base_;
+  StreamTraffic traffic_;
   LibeventPort port_;
   kj::EventLoop loop_;
   kj::WaitScope wait_scope_;
@@ -58,7 +68,9 @@
 class SocketStream final : public kj::AsyncIoStream {
  public:
   /// Takes over `fd`, which must be a connected, non-blocking stream socket.
-  SocketStream(event_base* base, int fd);
+  ///
+  /// Precondition: `loop` outlives the stream.
+  SocketStream(EventLoop* loop, int fd);
   ~SocketStream();
   KJ_DISALLOW_COPY(SocketStream);
 
@@ -75,13 +87,14 @@
   kj::Promise<void> WriteMore(kj::Array<kj::byte> data, size_t done);
 
   int fd_;
+  StreamTraffic* traffic_;
   std::unique_ptr<Readiness> readable_;
   std::unique_ptr<Readiness> writable_;
 };
 
 /// Opens a connection. The promise fails with a disconnect exception if the peer refuses; it does
 /// not time out by itself.
-kj::Promise<kj::Own<SocketStream>> ConnectSocket(event_base* base, const NetAddress& address);
+kj::Promise<kj::Own<SocketStream>> ConnectSocket(EventLoop* loop, const NetAddress& address);
 
 /// Precondition: `address` holds a valid IP number.
 sockaddr_in ToSockaddr(const NetAddress& address);
--- a/src/libnode/node_server.cc
+++ b/src/libnode/node_server.cc
@@ -142,7 +142,7 @@
 
 NodeServer::Connection::Connection(NodeServer* owner, int fd)
     : owner_(owner),
-      stream_(owner->loop_->base(), fd),
+      stream_(owner->loop_, fd),
       network_(stream_, capnp::rpc::twoparty::Side::SERVER,
                capnp::ReaderOptions{kMaxMessageWords, 64}),
       tasks_(*this),
--- a/src/libnode/peer_pool.cc
+++ b/src/libnode/peer_pool.cc
@@ -89,7 +89,7 @@
     auto timeout = After(loop->base(), kConnectTimeout).then([]() -> kj::Promise<void> {
       return KJ_EXCEPTION(OVERLOADED, "connection was not ready in time");
     });
-    return ConnectSocket(loop->base(), peer_)
+    return ConnectSocket(loop, peer_)
         .then([this, identity](kj::Own<SocketStream> stream) {
           stream_ = kj::mv(stream);
           client_ = kj::heap<capnp::TwoPartyClient>(*stream_);
