--- a/src/libnode/node_fuzz_test.cc
+++ b/src/libnode/node_fuzz_test.cc
@@ -152,7 +152,7 @@
     CPPUNIT_ASSERT_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds.data()));
     std::string recorded;
     {
-      SocketStream stream(loop_->base(), fds[0]);
+      SocketStream stream(loop_.get(), fds[0]);
       capnp::TwoPartyClient client(stream);
       auto node = client.bootstrap().castAs<rpc::Node>();
       auto hello = node.helloRequest();
