Report each conflict once, and test the change request

The outcome of an acceptance already has a finding per conflict, with the record, both versions and the first field that differs; the operator task added a second one. The conversion moves to change_result.cc with its test.

--- a/src/camphorhoistd/operator_task.cc
+++ b/src/camphorhoistd/operator_task.cc
@@ -5,48 +5,12 @@
 
 #include "camphorhoist/error.h"
 #include "camphorhoistd/change_request.h"
+#include "camphorhoistd/change_result.h"
 
 namespace camphorhoist {
 
 namespace {
 
-/// Accept outcomes by the name that operators see.
-struct OutcomeName {
-  AcceptStatus status;
-  ChangeOutcome outcome;
-};
-
-constexpr OutcomeName kOutcomes[] = {{AcceptStatus::kAccepted, ChangeOutcome::kAccepted},
-                                     {AcceptStatus::kConflict, ChangeOutcome::kConflict},
-                                     {AcceptStatus::kRejected, ChangeOutcome::kRejected},
-                                     {AcceptStatus::kUnknown, ChangeOutcome::kUnknown}};
-
-ChangeOutcome ToChangeOutcome(AcceptStatus status) {
-  for (const OutcomeName& it : kOutcomes) {
-    if (it.status == status) return it.outcome;
-  }
-  return ChangeOutcome::kUnknown;
-}
-
-std::string Describe(const RecordConflict& conflict) {
-  std::string text = "was read at version " + std::to_string(conflict.read_version) +
-                     " and is now at version " + std::to_string(conflict.current_version);
-  if (!conflict.field.empty()) text += "; first field that differs: " + conflict.field;
-  return text;
-}
-
-ChangeResult ToChangeResult(const AcceptOutcome& outcome) {
-  ChangeResult result;
-  result.outcome = ToChangeOutcome(outcome.status);
-  result.id = outcome.change_set_id;
-  result.version = outcome.version;
-  result.findings = outcome.findings;
-  for (const RecordConflict& it : outcome.conflicts) {
-    result.findings.Add(it.key.ToString(), Describe(it));
-  }
-  return result;
-}
-
 /// Name shown for a member: its state, or why it cannot be told.
 std::string StateName(const MemberView& view) {
   if (!view.reachable) return "unreachable";
