Test the tombstone retry and bytes after the end of a message

The retry of expired members was covered by the seeds in the earlier split test; here the seeds are dead. Damaged messages were refused for other reasons as well; here only the tail is wrong.

--- a/src/libmember/codec_test.cc
+++ b/src/libmember/codec_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(CodecTest);
   CPPUNIT_TEST(MessagesSurviveTheCodec);
   CPPUNIT_TEST(RefusesInvalidFields);
+  CPPUNIT_TEST(RefusesBytesAfterTheEnd);
   CPPUNIT_TEST(SurvivesDamagedBytes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -85,6 +86,20 @@
     }
   }
 
+  // Guards against a datagram whose tail is ignored: two messages run together, or a wrong length.
+  void RefusesBytesAfterTheEnd() {
+    std::error_code ec;
+    std::string text;
+    const std::string bytes = EncodeMemberMessage(ValidMessage(), &ec);
+    CPPUNIT_ASSERT(DecodeMemberMessage(bytes, &ec).has_value());
+    for (const std::string& tail : {std::string(1, '\0'), std::string(2, '\0'), std::string("x"),
+                                    std::string(8, '\xff'), bytes}) {
+      CPPUNIT_ASSERT(!DecodeMemberMessage(bytes + tail, &ec, &text));
+      CPPUNIT_ASSERT(ec == Errc::kInvalidInput);
+      CPPUNIT_ASSERT_EQUAL(std::string("bytes after the end of the message"), text);
+    }
+  }
+
   // Guards against crashes, exceptions and accepted nonsense on bytes from the network.
   void SurvivesDamagedBytes() {
     constexpr int kRounds = 40000;
--- a/src/libmember/membership_test.cc
+++ b/src/libmember/membership_test.cc
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(PausedDataCentreAccusesNobody);
   CPPUNIT_TEST(RackAndDataCentreDeath);
   CPPUNIT_TEST(PartOfADataCentreComesBack);
+  CPPUNIT_TEST(PartComesBackWithoutSeeds);
   CPPUNIT_TEST(HerdRestart);
   CPPUNIT_TEST(LateUpdatesDoNotOverwriteNewerOnes);
   CPPUNIT_TEST(ExpiredMembersStayDead);
@@ -222,6 +223,24 @@
     }
   }
 
+  // Guards against parts that find each other through seeds only: the seeds die on the larger side
+  // and the entries of the lost members have expired, so that only their tombstones are left.
+  void PartComesBackWithoutSeeds() {
+    MeshFake mesh(18);
+    mesh.AddMany(1, 10);
+    CPPUNIT_ASSERT(mesh.RunUntil([&] { return mesh.AllSee(10); }, seconds(60)));
+    const std::set<MemberId> minority = {MeshFake::Id(0, 8), MeshFake::Id(0, 9)};
+    mesh.cut = [&](const MemberId& a, const MemberId& b) {
+      return minority.count(a) != minority.count(b);
+    };
+    for (int i = 0; i < 3; ++i) mesh.Crash(MeshFake::Id(0, i));
+    mesh.Run(seconds(150));
+    CPPUNIT_ASSERT(!mesh.node(MeshFake::Id(0, 5)).membership->Find(MeshFake::Id(0, 8)));
+    CPPUNIT_ASSERT(!mesh.node(MeshFake::Id(0, 8)).membership->Find(MeshFake::Id(0, 5)));
+    mesh.cut = nullptr;
+    CPPUNIT_ASSERT(mesh.RunUntil([&] { return mesh.AllSee(7); }, seconds(60)));
+  }
+
   // Guards against a restart of most members that leaves old incarnations behind.
   void HerdRestart() {
     MeshFake mesh(8);
