--- a/src/libnode/node_fuzz_test.cc
+++ b/src/libnode/node_fuzz_test.cc
@@ -40,15 +40,18 @@
 }
 
 // The mutations. Each takes a stream that is not empty.
-std::string FlipBits(Random* rng, std::string stream) {
+std::string FlipBits(Random* rng, const std::string& input) {
+  std::string stream = input;
   for (size_t n = 1 + Below(rng, 8); n > 0; --n) {
-    stream[Below(rng, stream.size())] ^= static_cast<char>(1U << Below(rng, 8));
+    char& byte = stream[Below(rng, stream.size())];
+    byte = static_cast<char>(static_cast<unsigned char>(byte) ^ (1U << Below(rng, 8)));
   }
   return stream;
 }
 
 // Lengths, offsets and counts stand in words of four bytes.
-std::string SetWord(Random* rng, std::string stream) {
+std::string SetWord(Random* rng, const std::string& input) {
+  std::string stream = input;
   static constexpr std::array<uint32_t, 6> kValues = {0,          1,          0x7fffffff,
                                                       0x80000000, 0xfffffffc, 0xffffffff};
   for (size_t n = 1 + Below(rng, 3); n > 0; --n) {
@@ -59,31 +62,34 @@
   return stream;
 }
 
-std::string Truncate(Random* rng, std::string stream) {
+std::string Truncate(Random* rng, const std::string& input) {
+  std::string stream = input;
   stream.resize(1 + Below(rng, stream.size()));
   return stream;
 }
 
-std::string Insert(Random* rng, std::string stream) {
+std::string Insert(Random* rng, const std::string& input) {
+  std::string stream = input;
   stream.insert(Below(rng, stream.size()), RandomBytes(rng, 1 + Below(rng, 64)));
   return stream;
 }
 
-std::string Erase(Random* rng, std::string stream) {
+std::string Erase(Random* rng, const std::string& input) {
+  std::string stream = input;
   stream.erase(8 * Below(rng, stream.size() / 8), 8 * (1 + Below(rng, 8)));
   return stream;
 }
 
-std::string Repeat(Random* rng, std::string stream) {
+std::string Repeat(Random* rng, const std::string& stream) {
   const size_t at = 8 * Below(rng, stream.size() / 8);
   return stream + stream.substr(at);
 }
 
-std::string Replace(Random* rng, std::string /*stream*/) {
+std::string Replace(Random* rng, const std::string& /*stream*/) {
   return RandomBytes(rng, 1 + Below(rng, kMaxRandomBytes));
 }
 
-using Mutation = std::string (*)(Random* rng, std::string stream);
+using Mutation = std::string (*)(Random* rng, const std::string& stream);
 constexpr std::array<Mutation, 7> kMutations = {&FlipBits, &SetWord, &Truncate, &Insert,
                                                 &Erase,    &Repeat,  &Replace};
 
--- a/src/testing/test_main.cc
+++ b/src/testing/test_main.cc
@@ -19,8 +19,9 @@
 /// The last `parts` components of a name that has its namespaces in front.
 std::string ShortName(const std::string& name, int parts) {
   size_t at = name.size();
-  for (int i = 0; i < parts && at != std::string::npos && at > 0; ++i)
+  for (int i = 0; i < parts && at != std::string::npos && at > 0; ++i) {
     at = name.rfind("::", at - 1);
+  }
   return at == std::string::npos ? name : name.substr(at + 2);
 }
 
