--- a/src/system_tests/call_faults_test.cc
+++ b/src/system_tests/call_faults_test.cc
@@ -172,11 +172,11 @@
 
   static std::string GetOnce(Mesh* mesh, const std::string& query) {
     bool closed = false;
-    const std::string answer = ExchangeBytes(mesh->node(0).caller(),
-                                             "GET /orders/file?" + query +
-                                                 " HTTP/1.1\r\nHost: test\r\n"
-                                                 "Connection: close\r\nX-Request-Key: k\r\n\r\n",
-                                             kSilenceMs, &closed);
+    std::string answer = ExchangeBytes(mesh->node(0).caller(),
+                                       "GET /orders/file?" + query +
+                                           " HTTP/1.1\r\nHost: test\r\n"
+                                           "Connection: close\r\nX-Request-Key: k\r\n\r\n",
+                                       kSilenceMs, &closed);
     CPPUNIT_ASSERT_MESSAGE("the connection was closed", closed);
     return answer;
   }
--- a/src/system_tests/config_faults_test.cc
+++ b/src/system_tests/config_faults_test.cc
@@ -184,8 +184,8 @@
   /// The single record that `camphorhoist get KIND/NAME` printed.
   static json RecordOf(const json& read) { return read.at("records").at(0).at("record"); }
 
-  /// Both operators read, then both write through different nodes at the same time. The second
-  /// conditional write is held up, so that both have read the head before either has moved it.
+  /// Both operators read, then both write through different nodes at the same time. Page
+  /// writes are slowed, so that both have read the head before either has moved it.
   /// Returns the exit codes of the CLI.
   static std::vector<int> Race(Mesh* mesh, const std::string& first, const std::string& second) {
     const std::vector<std::string> names = {first, second};
@@ -200,8 +200,10 @@
                              {"key_prefix", "config/page/"},
                              {"delay_ms", 500}});
     std::vector<std::unique_ptr<Process>> programs;
+    programs.reserve(changes.size());
     for (size_t i = 0; i < changes.size(); ++i) programs.push_back(mesh->StartApply(i, changes[i]));
     std::vector<int> exits;
+    exits.reserve(programs.size());
     for (const auto& it : programs) exits.push_back(Mesh::Finish(it.get()).exit);
     mesh->SetPlatformFaults(json::array());
     return exits;
--- a/src/system_tests/mesh.cc
+++ b/src/system_tests/mesh.cc
@@ -101,6 +101,7 @@
 MeshUpstream& Mesh::StartUpstream(const std::string& service, const std::vector<size_t>& nodes,
                                   const std::vector<std::string>& options) {
   std::vector<std::string> addresses;
+  addresses.reserve(nodes.size());
   for (size_t it : nodes) addresses.push_back(node(it).process->Address("upstream").ToString());
   auto upstream = std::make_unique<MeshUpstream>();
   upstream->service = service;
@@ -214,9 +215,11 @@
 std::unique_ptr<Process> Mesh::StartLoad(const std::vector<size_t>& targets, const json& mix,
                                          const std::vector<std::string>& options) {
   std::vector<std::string> callers;
+  callers.reserve(targets.size());
   for (size_t it : targets) callers.push_back(node(it).caller().ToString());
   // The files are complete line by line, also those of upstreams that have ended.
   std::vector<std::string> ledgers;
+  ledgers.reserve(upstreams_.size());
   for (const auto& it : upstreams_) ledgers.push_back("file:" + it->ledger_file);
   std::vector<std::string> command = {
       "--target=" + Join(callers), "--mix=" + mix.dump(), "--check-ledger=" + Join(ledgers),
@@ -229,7 +232,7 @@
   const ProgramResult result = Finish(load);
   CPPUNIT_ASSERT_EQUAL_MESSAGE(result.text, 0, result.exit);
   std::ifstream in(directory_ + "/load.json");
-  const json report = json::parse(in);
+  json report = json::parse(in);
   CPPUNIT_ASSERT_EQUAL_MESSAGE(result.text, json::array(), report.at("violations"));
   CPPUNIT_ASSERT_EQUAL_MESSAGE(result.text, json::array(), report.at("wrong_answers"));
   return report;
--- a/src/system_tests/process.cc
+++ b/src/system_tests/process.cc
@@ -49,6 +49,7 @@
   const int out = OpenOutput(output_file_);
   const int err = OpenOutput(log_file_);
   std::vector<char*> argv;
+  argv.reserve(command.size() + 1);
   for (const std::string& it : command) argv.push_back(const_cast<char*>(it.c_str()));
   argv.push_back(nullptr);
   const pid_t parent = getpid();
