--- a/src/libmember/distribution.cc
+++ b/src/libmember/distribution.cc
@@ -98,8 +98,6 @@
   floor_ = std::max(floor_, version);
   if (version <= target_ || version <= current_) return;
   target_ = version;
-  // The announcer of an older version may not have this one.
-  announcer_.reset();
   tried_.clear();
   failed_pulls_ = 0;
   next_pull_ = now;
@@ -117,9 +115,8 @@
   const auto peer = peers_.find(heard.from);
   if (peer != peers_.end()) peer->second.version = std::max(peer->second.version, heard.version);
   if (heard.version <= current_) return out;
-  const bool first = heard.version > target_;
+  if (heard.version > target_) announcer_ = heard.from;
   Learn(now, heard.version);
-  if (first) announcer_ = heard.from;
   ConsiderPull(now, rng, &out);
   return out;
 }
@@ -289,9 +286,8 @@
   if (floor.none()) return out;
   floor_known_ = true;
   // The peer may hold what it has seen; if not, the pull moves on to known holders.
-  const bool first = floor > target_;
+  if (floor > target_) announcer_ = from;
   Learn(now, floor);
-  if (first) announcer_ = from;
   ConsiderPull(now, rng, &out);
   return out;
 }
