Count the failures of one incident as one ejection

Cause: after a freeze of 3 s no sender used the resumed upstream for up to 15 s. All calls in flight fail together, each five of them ejected the upstream again, and each ejection doubles the time. Ruled out: a shorter first ejection; it would also return sooner to an upstream that is really broken. Conclusion: attempts sent before an ejection ended do not count again. The system test of a frozen node again requires that the other nodes send to it.

--- a/src/libcall/balancer.cc
+++ b/src/libcall/balancer.cc
@@ -214,6 +214,8 @@
       break;
     }
     case AttemptEnd::kFailed:
+      // Attempts sent before the last ejection ended belong to the incident that caused it.
+      if (now - result.latency < upstream->ejected_until) break;
       if (++upstream->failures >= kEjectFailures) Eject(upstream, now);
       break;
     case AttemptEnd::kNotRun:
--- a/src/libcall/gate_test.cc
+++ b/src/libcall/gate_test.cc
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(RefusedCallStaysRefused);
   CPPUNIT_TEST(LedgerEntryHasStatedSize);
   CPPUNIT_TEST(FailuresEjectAndReturnGradually);
+  CPPUNIT_TEST(OneIncidentEjectsOnce);
   CPPUNIT_TEST(PanicIgnoresEjection);
   CPPUNIT_TEST(FullTierSpillsOver);
   CPPUNIT_TEST(BudgetBoundsRetries);
@@ -185,6 +186,15 @@
     CPPUNIT_ASSERT(early * 3 < late);
   }
 
+  // Guards against a long ejection after a short pause of a busy upstream: all calls that were in
+  // flight fail together, which is one incident and not many.
+  void OneIncidentEjectsOnce() {
+    Balancer balancer = Of(3, 1);
+    for (int i = 0; i < 20; ++i) Fail(&balancer, 1);
+    CPPUNIT_ASSERT_EQUAL(0, CountPicks(&balancer, 1, kStart));
+    CPPUNIT_ASSERT(CountPicks(&balancer, 1, kStart + 2 * Balancer::kEjectBase) > 0);
+  }
+
   // Guards against emptying a tier when the cause lies with the sender.
   void PanicIgnoresEjection() {
     Balancer balancer = Of(3, 1);
--- a/src/system_tests/call_faults_test.cc
+++ b/src/system_tests/call_faults_test.cc
@@ -67,8 +67,8 @@
     mesh.node(1).process->Signal(SIGCONT);
     const json report = mesh.FinishLoad(load.get());
     AssertAllAnswered(ShapeReport(report, "get"));
-    WaitFor("the resumed node serves again", [&] {
-      const HttpResponse answer = Fetch(mesh.node(1).caller(), "GET", "/orders/list?ms=1");
+    WaitFor("the other nodes send to the resumed node again", [&] {
+      const HttpResponse answer = Fetch(mesh.node(0).caller(), "GET", "/orders/list?ms=1");
       CPPUNIT_ASSERT_EQUAL(200, answer.status);
       return mesh.upstream(0).Runs() > before;
     });
