--- a/src/system_tests/call_faults_test.cc
+++ b/src/system_tests/call_faults_test.cc
@@ -110,8 +110,9 @@
     mesh.StartUpstream("orders", {2, 0}, {"--slots=20"});
     mesh.WaitEndpoints("orders", 3);
     mesh.ApplyEverywhere(0, ServiceWithRoute("orders", 4000));
-    const auto load = mesh.StartLoad({0, 2}, ShortCalls(), {"--rate=150", "--duration-s=6"});
-    WaitForRunningCalls(&mesh, 1, 1);
+    const auto load = mesh.StartLoad({0, 2}, LongCalls(), {"--rate=60", "--duration-s=6"});
+    // Orders that run 300 ms: a stop that does not wait for them loses their answers.
+    WaitForRunningCalls(&mesh, 1, 4);
     CPPUNIT_ASSERT_EQUAL(0, mesh.node(1).process->Terminate());
     AssertAllAnswered(mesh.FinishLoad(load.get()).at("total"));
   }
