Lower the limit for slow calls only while the limit is in use

Cause: delays from outside (scheduling) raised the service time above twice the baseline at a sixth of the capacity; the limit fell from 12 to 6, the queue filled (dump: limit 6, running 6, queued 191) and kept the limit low. Fewer calls cannot help an upstream whose slots are not busy. A slow window now lowers the limit only if 75% of it was busy on average (Little's law). Ruled out: sheds (dump: broken 0). Not fixed: an upstream that is slow for an outside reason while its limit is in use is still halved.

--- a/include/camphorhoist/concurrency_limit.h
+++ b/include/camphorhoist/concurrency_limit.h
@@ -9,13 +9,17 @@
 namespace camphorhoist {
 
 /// Adaptive concurrency limit of one upstream: additive increase up to the slots, multiplicative
-/// decrease when short calls take much longer than their long-term baseline or work is shed.
+/// decrease when short calls take much longer than their long-term baseline while the limit is in
+/// use, or when work is shed.
 ///
 /// Thread safety: none; use from one thread.
 class ConcurrencyLimit {
  public:
   /// Service times above this multiple of the baseline lower the limit.
   static constexpr double kSlowFactor = 2.0;
+  /// Slow calls lower the limit only if at least this share of it was busy on average: what slows
+  /// fewer calls is not their number, and a lower limit would then only fill the queue.
+  static constexpr double kBusyShare = 0.75;
   static constexpr double kDecrease = 0.85;
   static constexpr double kIncrease = 1.0;
   /// The limit is adapted once per window at most.
@@ -51,6 +55,8 @@
   Mean baseline_;
   Mean long_work_;
   bool shed_ = false;
+  /// Service time of the calls that finished since the last adaptation.
+  double busy_micros_ = 0;
   CallTime adapted_at_{};
 };
 
--- a/src/libcall/concurrency_limit.cc
+++ b/src/libcall/concurrency_limit.cc
@@ -29,6 +29,7 @@
 void ConcurrencyLimit::OnFinish(CallTime now, WorkClass work_class, CallDuration service_time,
                                 bool shed) {
   const double micros = std::chrono::duration<double, std::micro>(service_time).count();
+  busy_micros_ += micros;
   if (shed) {
     shed_ = true;
   } else if (work_class == WorkClass::kLong) {
@@ -41,11 +42,15 @@
 
 void ConcurrencyLimit::Adapt(CallTime now) {
   if (now - adapted_at_ < kWindow) return;
+  // By Little's law the service time that ended per unit of time is the mean number of busy slots.
+  const double window = std::chrono::duration<double, std::micro>(now - adapted_at_).count();
+  const bool busy = busy_micros_ >= kBusyShare * limit_ * window;
+  busy_micros_ = 0;
   adapted_at_ = now;
   const bool known = recent_.samples >= kMeanSamples;
   const bool slow =
       known && baseline_.samples > 0 && recent_.micros > kSlowFactor * baseline_.micros;
-  if (slow || shed_) {
+  if ((slow && busy) || shed_) {
     const double floor = std::max(1.0, std::ceil(slots_ * kFloorShare));
     limit_ = std::max(limit_ * kDecrease, floor);
   } else {
--- a/src/libcall/gate_test.cc
+++ b/src/libcall/gate_test.cc
@@ -11,6 +11,7 @@
 namespace camphorhoist {
 namespace {
 
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -59,6 +60,7 @@
   CPPUNIT_TEST(LongWorkLeavesSlotsFree);
   CPPUNIT_TEST(QueueIsBoundedByExpectedWait);
   CPPUNIT_TEST(SlowUpstreamLowersLimit);
+  CPPUNIT_TEST(SlowIdleUpstreamKeepsLimit);
   CPPUNIT_TEST(ColdStartWarmsUp);
   CPPUNIT_TEST(FullLedgerRefusesAndForgetsNothing);
   CPPUNIT_TEST(RefusedCallStaysRefused);
@@ -126,6 +128,20 @@
     CPPUNIT_ASSERT_EQUAL(4u, limit.limit());
   }
 
+  // Guards against halving the capacity because of delays that the calls did not cause: at a sixth
+  // of the capacity the lower limit filled the queue, which kept the limit low.
+  void SlowIdleUpstreamKeepsLimit() {
+    ConcurrencyLimit limit(12);
+    CallTime now = kStart;
+    for (const int service_ms : {1, 3}) {
+      for (int i = 0; i < 4000; ++i) {
+        limit.OnFinish(now += microseconds(500), WorkClass::kShort, milliseconds(service_ms),
+                       false);
+        CPPUNIT_ASSERT_EQUAL(12u, limit.limit());
+      }
+    }
+  }
+
   // Guards against a full load on an upstream that has just started.
   void ColdStartWarmsUp() {
     GateOptions options;
