--- a/src/libmember/membership_test.cc
+++ b/src/libmember/membership_test.cc
@@ -79,7 +79,8 @@
           previous = {MeshFake::Id(d, i)};
         }
       }
-      CPPUNIT_ASSERT(mesh.RunUntil([&] { return mesh.AllSee(2 * kDataCentres); }, seconds(60)));
+      CPPUNIT_ASSERT(
+          mesh.RunUntil([&] { return mesh.AllSee(size_t{2} * kDataCentres); }, seconds(60)));
     }
   }
 
