--- a/src/libnode/node_fuzz_test.cc
+++ b/src/libnode/node_fuzz_test.cc
@@ -145,7 +145,7 @@
     FakeService::Finish(writer.get(), NodeOutcome::kNotRun, "test");
     Wait([&] { return held.done == 1; });
     CPPUNIT_ASSERT(held.status == PeerCallStatus::kResult);
-    // Damage that no frame check saw would mean that the mutations reach nothing.
+    // Otherwise the mutations would have left the greeting whole in every stream.
     CPPUNIT_ASSERT(server_->rejected() > 0);
   }
 
--- a/src/libnode/node_server.cc
+++ b/src/libnode/node_server.cc
@@ -46,10 +46,20 @@
     LogEvent(LogLevel::kWarn, "node", "connection_error")
         .Add("error", exception.getDescription().cStr());
   }
-  void CloseLater() { close_.StartOnce(std::chrono::microseconds(0)); }
+  // The RPC layer answers a broken message with the reason and then disconnects like any peer, so a
+  // connection that never said hello is the sign of a foreign or broken sender.
+  void OnDisconnect() {
+    if (!greeted_ && !refused_) {
+      ++owner_->rejected_;
+      LogEvent(LogLevel::kWarn, "node", "closed_before_hello");
+    }
+    close_.StartOnce(std::chrono::microseconds(0));
+  }
 
   NodeServer* owner_;
   bool greeted_ = false;
+  /// The mesh name differed; counted already.
+  bool refused_ = false;
   SocketStream stream_;
   capnp::TwoPartyVatNetwork network_;
   kj::TaskSet tasks_;
@@ -66,6 +76,7 @@
     const std::string mesh(context.getParams().getMesh().cStr());
     const NodeIdentity& self = owner_->identity_;
     if (mesh != self.mesh) {
+      connection_->refused_ = true;
       ++owner_->rejected_;
       LogEvent(LogLevel::kWarn, "node", "wrong_mesh")
           .Add("peer", context.getParams().getAddress().cStr())
@@ -148,13 +159,7 @@
       tasks_(*this),
       rpc_(capnp::makeRpcServer(network_, kj::heap<Handler>(this))),
       close_(owner->loop_->base(), [this] { owner_->Close(this); }) {
-  tasks_.add(network_.onDisconnect().then(
-      [this] { CloseLater(); },
-      [this](kj::Exception&& e) {
-        ++owner_->rejected_;
-        LogEvent(LogLevel::kWarn, "node", "broken_message").Add("error", e.getDescription().cStr());
-        CloseLater();
-      }));
+  tasks_.add(network_.onDisconnect().then([this] { OnDisconnect(); }));
 }
 
 NodeServer::Connection::~Connection() = default;
--- a/src/libnode/node_server.h
+++ b/src/libnode/node_server.h
@@ -75,7 +75,7 @@
 
   NetAddress bound_address() const { return bound_; }
   size_t connections() const { return connections_.size(); }
-  /// Connections refused or closed because of a wrong mesh name or a broken message.
+  /// Connections that named another mesh, or ended without having said hello.
   uint64_t rejected() const { return rejected_; }
 
  private:
--- a/src/libnode/node_test.cc
+++ b/src/libnode/node_test.cc
@@ -204,6 +204,7 @@
     FakeHandler handler;
     pool_->Call(server_->bound_address(), false, Request("/hold"), &handler);
     WaitFor([&] { return !service_.requests.empty(); });
+    uint64_t rejected = 0;
     const std::vector<std::string> frames = {
         std::string(64, '\xff'), std::string(8, '\0') + std::string(64, '\x7f'),
         std::string("GET / HTTP/1.1\r\n\r\n"), std::string("\0\0\0\0\1\0\0\0\5\0\0\0\0\0\0\0", 16)};
@@ -215,6 +216,7 @@
       shutdown(fd, SHUT_WR);
       WaitFor([&] { return ClosedByPeer(fd); });
       WaitFor([&] { return server_->connections() == 1; });
+      CPPUNIT_ASSERT_EQUAL(++rejected, server_->rejected());
       close(fd);
     }
     FakeService::Finish(service_.writers[0].get(), NodeOutcome::kNotRun, "test");
--- a/src/system_tests/bad_input_test.cc
+++ b/src/system_tests/bad_input_test.cc
@@ -102,7 +102,12 @@
     CPPUNIT_ASSERT_EQUAL(size_t{0}, mesh->upstream(0).Runs());
   }
 
+  static int RejectedConnections(Mesh* mesh) {
+    return mesh->Dump(0).at("node_connections").at("rejected").get<int>();
+  }
+
   static void SendBrokenFrames(Mesh* mesh) {
+    const int before = RejectedConnections(mesh);
     const std::string frames[] = {
         std::string(64, '\xff'),                     // more segments than a message may have
         std::string("\0\0\0\0\xff\xff\xff\x7f", 8),  // a segment of 16 GiB
@@ -115,6 +120,8 @@
       CPPUNIT_ASSERT_MESSAGE("the connection was closed", closed);
       CPPUNIT_ASSERT_MESSAGE("reason: " + answer, answer.find("Message ") != std::string::npos);
     }
+    const int expected = before + static_cast<int>(std::size(frames));
+    WaitFor("broken frames are counted", [&] { return RejectedConnections(mesh) == expected; });
   }
 
   static void SendBadDatagrams(Mesh* mesh) {
