--- a/include/camphorhoist/distribution.h
+++ b/include/camphorhoist/distribution.h
@@ -86,8 +86,8 @@
   void OnMember(const MemberEntry& entry, MemberState state);
   void OnDataCentre(const std::string& data_centre, bool reachable);
 
-  DistributionEffects OnVersionHeard(MemberTime now, std::mt19937_64& rng,
-                                     const VersionHeard& heard);
+  DistributionEffects OnVersionObserved(MemberTime now, std::mt19937_64& rng,
+                                        const VersionObserved& heard);
   /// `version` and `hash` are the ones that were put in force (kApplied) or refused (kRejected).
   DistributionEffects OnPullDone(MemberTime now, std::mt19937_64& rng, PullResult result,
                                  const ConfigVersion& version, const std::string& hash);
--- a/include/camphorhoist/membership.h
+++ b/include/camphorhoist/membership.h
@@ -68,8 +68,8 @@
   bool reachable = true;
 };
 
-/// A peer told its configuration version; feed it to `Distribution::OnVersionHeard`.
-struct VersionHeard {
+/// A peer told its configuration version; feed it to `Distribution::OnVersionObserved`.
+struct VersionObserved {
   ConfigVersion version;
   std::string hash;
   MemberId from;
@@ -77,7 +77,7 @@
 };
 
 using MemberEffect =
-    std::variant<SendMessage, MemberChanged, EndpointChanged, DataCentreChanged, VersionHeard>;
+    std::variant<SendMessage, MemberChanged, EndpointChanged, DataCentreChanged, VersionObserved>;
 using MemberEffects = std::vector<MemberEffect>;
 
 /// A member in the own view.
--- a/src/camphorhoistd/config_task.cc
+++ b/src/camphorhoistd/config_task.cc
@@ -135,7 +135,7 @@
       listener_(std::move(listener)),
       distribution_({options.self, options.data_centre, options.watch_always}),
       committer_(base, store),
-      inbox_(base, [this](const MemberNews& news) { OnNews(news); }),
+      inbox_(base, [this](const MemberEvent& event) { OnMemberEvent(event); }),
       tick_(base, [this] { Carry(distribution_.Tick(Now(), *rng_)); }) {}
 
 ConfigTask::~ConfigTask() { *alive_ = false; }
@@ -145,14 +145,14 @@
   tick_.StartPeriodic(kTickPeriod);
 }
 
-void ConfigTask::OnNews(const MemberNews& news) {
-  if (const auto* heard = std::get_if<VersionHeard>(&news)) {
+void ConfigTask::OnMemberEvent(const MemberEvent& event) {
+  if (const auto* heard = std::get_if<VersionObserved>(&event)) {
     NoteReported(heard->from, heard->version);
-    Carry(distribution_.OnVersionHeard(Now(), *rng_, *heard));
-  } else if (const auto* member = std::get_if<MemberChanged>(&news)) {
+    Carry(distribution_.OnVersionObserved(Now(), *rng_, *heard));
+  } else if (const auto* member = std::get_if<MemberChanged>(&event)) {
     NoteReported(member->entry.address, member->entry.version);
     distribution_.OnMember(member->entry, member->state);
-  } else if (const auto* centre = std::get_if<DataCentreChanged>(&news)) {
+  } else if (const auto* centre = std::get_if<DataCentreChanged>(&event)) {
     distribution_.OnDataCentre(centre->data_centre, centre->reachable);
   }
 }
--- a/src/camphorhoistd/config_task.h
+++ b/src/camphorhoistd/config_task.h
@@ -46,7 +46,7 @@
   ConfigTask& operator=(const ConfigTask&) = delete;
 
   /// Where messages of the member task go.
-  Mailbox<MemberNews>* inbox() { return &inbox_; }
+  Mailbox<MemberEvent>* inbox() { return &inbox_; }
   /// Precondition: `member` outlives the task. Call once, before the first tick.
   void Start(MemberTask* member);
 
@@ -78,7 +78,7 @@
  private:
   class PlatformLoad;
 
-  void OnNews(const MemberNews& news);
+  void OnMemberEvent(const MemberEvent& event);
   void NoteReported(const MemberId& member, const ConfigVersion& version);
   void Carry(const DistributionEffects& effects);
   void CarryOne(const DistributionEffect& effect);
@@ -122,7 +122,7 @@
   std::unique_ptr<PlatformLoad> load_;
   std::unique_ptr<PlatformLoad> ended_load_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  Mailbox<MemberNews> inbox_;
+  Mailbox<MemberEvent> inbox_;
   Timer tick_;
 };
 
--- a/src/camphorhoistd/member_task.cc
+++ b/src/camphorhoistd/member_task.cc
@@ -15,10 +15,10 @@
 }  // namespace
 
 MemberTask::MemberTask(event_base* base, const MembershipOptions& options, std::mt19937_64* rng,
-                       Mailbox<MemberNews>* news)
+                       Mailbox<MemberEvent>* events)
     : self_(options.self),
       rng_(rng),
-      news_(news),
+      events_(events),
       membership_(options),
       endpoints_(options.data_centre, options.region),
       socket_(base,
@@ -86,9 +86,9 @@
       continue;
     }
     endpoints_.Apply(it);
-    if (const auto* heard = std::get_if<VersionHeard>(&it)) news_->Post(*heard);
-    if (const auto* member = std::get_if<MemberChanged>(&it)) news_->Post(*member);
-    if (const auto* centre = std::get_if<DataCentreChanged>(&it)) news_->Post(*centre);
+    if (const auto* heard = std::get_if<VersionObserved>(&it)) events_->Post(*heard);
+    if (const auto* member = std::get_if<MemberChanged>(&it)) events_->Post(*member);
+    if (const auto* centre = std::get_if<DataCentreChanged>(&it)) events_->Post(*centre);
   }
 }
 
--- a/src/camphorhoistd/member_task.h
+++ b/src/camphorhoistd/member_task.h
@@ -17,16 +17,17 @@
 namespace camphorhoist {
 
 /// Messages of the member task to the configuration task.
-using MemberNews = std::variant<VersionHeard, MemberChanged, DataCentreChanged>;
+using MemberEvent = std::variant<VersionObserved, MemberChanged, DataCentreChanged>;
 
 /// Owns the datagram socket, the membership and the endpoint table.
 ///
 /// Thread safety: none; use on the loop's thread.
 class MemberTask {
  public:
-  /// Preconditions: `base`, `rng` and `news` outlive the task. `options.self` holds the bound port.
+  /// Preconditions: `base`, `rng` and `events` outlive the task. `options.self` holds the bound
+  /// port.
   MemberTask(event_base* base, const MembershipOptions& options, std::mt19937_64* rng,
-             Mailbox<MemberNews>* news);
+             Mailbox<MemberEvent>* events);
   MemberTask(const MemberTask&) = delete;
   MemberTask& operator=(const MemberTask&) = delete;
 
@@ -61,7 +62,7 @@
 
   NetAddress self_;
   std::mt19937_64* rng_;
-  Mailbox<MemberNews>* news_;
+  Mailbox<MemberEvent>* events_;
   Membership membership_;
   EndpointTable endpoints_;
   SelfState state_;
--- a/src/libmember/config_mesh_fake.h
+++ b/src/libmember/config_mesh_fake.h
@@ -139,11 +139,11 @@
     if (const auto* it = std::get_if<DataCentreChanged>(&effect)) {
       rules.OnDataCentre(it->data_centre, it->reachable);
     }
-    if (const auto* it = std::get_if<VersionHeard>(&effect)) {
-      const VersionHeard heard = *it;
+    if (const auto* it = std::get_if<VersionObserved>(&effect)) {
+      const VersionObserved heard = *it;
       tasks_.push_back([this, id, heard] {
         if (!mesh.Running(id)) return;
-        Perform(id, this->rules(id).OnVersionHeard(mesh.now(), mesh.rng(), heard));
+        Perform(id, this->rules(id).OnVersionObserved(mesh.now(), mesh.rng(), heard));
       });
     }
   }
--- a/src/libmember/distribution.cc
+++ b/src/libmember/distribution.cc
@@ -114,8 +114,8 @@
   if (!head_confirmed_ || at > *head_confirmed_) head_confirmed_ = at;
 }
 
-DistributionEffects Distribution::OnVersionHeard(MemberTime now, std::mt19937_64& rng,
-                                                 const VersionHeard& heard) {
+DistributionEffects Distribution::OnVersionObserved(MemberTime now, std::mt19937_64& rng,
+                                                    const VersionObserved& heard) {
   DistributionEffects out;
   if (heard.head_age) Confirm(now - *heard.head_age);
   if (!heard.version.none()) floor_known_ = true;
--- a/src/libmember/distribution_test.cc
+++ b/src/libmember/distribution_test.cc
@@ -286,7 +286,7 @@
   }
 
   DistributionEffects Heard(Distribution* rules, const ConfigVersion& version, int from) {
-    return rules->OnVersionHeard(
+    return rules->OnVersionObserved(
         now_, rng_,
         {version, ConfigMeshFake::HashOf(version), MeshFake::Id(0, from), std::nullopt});
   }
--- a/src/libmember/member_bench.cc
+++ b/src/libmember/member_bench.cc
@@ -135,7 +135,7 @@
     const auto before = mesh_.stats();
     const MemberTime start = mesh_.now();
     mesh_.observer = [this](const MemberId& id, const MemberEffect& effect) {
-      const auto* heard = std::get_if<VersionHeard>(&effect);
+      const auto* heard = std::get_if<VersionObserved>(&effect);
       if (heard != nullptr) pending_.emplace_back(id, heard->version);
     };
     for (int i = 1; i <= kChanges; ++i) OneChange(ConfigVersion(1, static_cast<uint64_t>(i)));
--- a/src/libmember/membership.cc
+++ b/src/libmember/membership.cc
@@ -129,7 +129,7 @@
     hot_versions_[message.sender_data_centre] = GossipLimit();
     ReportMember(message.sender, out);
   }
-  out->push_back(VersionHeard{message.version, message.hash, message.sender, message.head_age});
+  out->push_back(VersionObserved{message.version, message.hash, message.sender, message.head_age});
   // A sender that is held for suspect or gone is told, so that it can refute.
   const MemberRecord* record = table_.Find(message.sender);
   const bool doubted =
--- a/src/libmember/recovery_test.cc
+++ b/src/libmember/recovery_test.cc
@@ -168,8 +168,8 @@
     for (int i = 0; i < 6; ++i) fake.Add(0, i, 2, 5000);
     // A version arrives without a source that can be asked; the others must not take it from here.
     fake.rules(MeshFake::Id(0, 3))
-        .OnVersionHeard(fake.mesh.now(), fake.mesh.rng(),
-                        {kV1, ConfigMeshFake::HashOf(kV1), MeshFake::Id(1, 1), std::nullopt});
+        .OnVersionObserved(fake.mesh.now(), fake.mesh.rng(),
+                           {kV1, ConfigMeshFake::HashOf(kV1), MeshFake::Id(1, 1), std::nullopt});
     fake.Run(seconds(30));
     for (int i = 0; i < 6; ++i) CPPUNIT_ASSERT(!fake.rules(MeshFake::Id(0, i)).may_serve());
     CPPUNIT_ASSERT(fake.rules(MeshFake::Id(0, 0)).current().none());
@@ -294,7 +294,7 @@
   }
 
   std::vector<Pull> Hear(Distribution* rules, int from, const ConfigVersion& version) {
-    return Only<Pull>(rules->OnVersionHeard(
+    return Only<Pull>(rules->OnVersionObserved(
         now_, rng_,
         {version, ConfigMeshFake::HashOf(version), MeshFake::Id(0, from), std::nullopt}));
   }
--- a/src/libnode/peer_pool.cc
+++ b/src/libnode/peer_pool.cc
@@ -49,8 +49,8 @@
  public:
   Connection(EventLoop* loop, const NodeIdentity& identity, NetAddress peer)
       : peer_(std::move(peer)),
-        last_heard_(Clock::now()),
-        last_used_(last_heard_),
+        last_activity_(Clock::now()),
+        last_used_(last_activity_),
         ready_(Open(loop, identity).fork()) {}
   KJ_DISALLOW_COPY(Connection);
 
@@ -58,7 +58,7 @@
   kj::Promise<void> Ready() { return ready_.addBranch(); }
   rpc::Node::Client& node() { return KJ_ASSERT_NONNULL(node_); }
 
-  void Heard() { last_heard_ = Clock::now(); }
+  void NoteActivity() { last_activity_ = Clock::now(); }
   void Used() { last_used_ = Clock::now(); }
   bool open() const { return open_; }
   bool Idle(Clock::time_point now) const { return now - last_used_ > kIdleTimeout; }
@@ -67,7 +67,7 @@
   bool CheckSilence(Clock::time_point now) {
     if (!open_) return false;
     if (ping_pending_) return now - ping_sent_ > kPingTimeout;
-    if (now - last_heard_ < kQuietBeforePing) return false;
+    if (now - last_activity_ < kQuietBeforePing) return false;
     ping_pending_ = true;
     ping_sent_ = now;
     ping_ = node()
@@ -75,7 +75,7 @@
                 .send()
                 .then([this](auto&&) {
                   ping_pending_ = false;
-                  Heard();
+                  NoteActivity();
                 })
                 .eagerlyEvaluate([](kj::Exception&&) {});
     return false;
@@ -85,7 +85,7 @@
   /// Forgets a ping sent before the connection became idle.
   void ResetSilence() {
     if (ping_pending_) return;
-    Heard();
+    NoteActivity();
   }
 
  private:
@@ -107,14 +107,14 @@
               kj::throwFatalException(KJ_EXCEPTION(FAILED, "mesh name of the peer differs"));
             }
             open_ = true;
-            Heard();
+            NoteActivity();
           });
         })
         .exclusiveJoin(kj::mv(timeout));
   }
 
   NetAddress peer_;
-  Clock::time_point last_heard_;
+  Clock::time_point last_activity_;
   Clock::time_point last_used_;
   Clock::time_point ping_sent_;
   bool open_ = false;
@@ -170,7 +170,7 @@
   AnswerHandler* Handler() {
     const auto it = pool_->calls_.find(handle_);
     if (it == pool_->calls_.end()) return nullptr;
-    it->second->connection->Heard();
+    it->second->connection->NoteActivity();
     return it->second->handler;
   }
 
@@ -231,7 +231,7 @@
             WriteCallRequest(request, message.initRequest());
             message.setSink(kj::heap<Sink>(this, handle));
             return message.send().then([this, raw, handle](auto&& response) {
-              raw->connection->Heard();
+              raw->connection->NoteActivity();
               FinishCall(handle, PeerCallStatus::kResult, ReadCallResult(response.getResult()));
             });
           })
@@ -297,7 +297,7 @@
   auto reply = connection->Ready().then([connection, send] { return send(connection->node()); });
   tasks_->add(reply.exclusiveJoin(kj::mv(expired))
                   .then([connection, shared](Reply&& value) {
-                    connection->Heard();
+                    connection->NoteActivity();
                     (*shared)({}, std::move(value));
                   })
                   .catch_([this, connection, shared](kj::Exception&& e) {
