Pass what waits for the caller before an answer is broken off

Cause: an answer that broke in the turn of the loop in which its head was passed on reached the caller as a closed connection without any byte (system test BrokenAndLargeBodies, 2 of 13 runs). The break was visible, but not that an answer had begun. Ruled out: narrowing the test.

--- a/src/libcaller/caller_test.cc
+++ b/src/libcaller/caller_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(FramesAnswers);
   CPPUNIT_TEST(LargeAnswerStaysBounded);
   CPPUNIT_TEST(BreakIsVisible);
+  CPPUNIT_TEST(BreakRightAfterTheHeadPassesIt);
   CPPUNIT_TEST(AnswerNotOfItsLengthIsBroken);
   CPPUNIT_TEST(DroppedReplyIsBroken);
   CPPUNIT_TEST(AbandonmentIsReported);
@@ -157,6 +158,20 @@
     }
   }
 
+  // Guards against a break that drops the head and the parts accepted in the same turn of the loop,
+  // so that the caller learns nothing of the answer.
+  void BreakRightAfterTheHeadPassesIt() {
+    RawClient client(server_->address());
+    client.Send(kGet);
+    CallReply* reply = NextReply();
+    reply->SendHead(200, {{"Content-Length", "100"}});
+    reply->SendChunk("part of the body");
+    reply->Break();
+    CPPUNIT_ASSERT(PumpUntil(base_.get(), [&] { return client.closed(); }));
+    CPPUNIT_ASSERT(client.Contains("HTTP/1.1 200"));
+    CPPUNIT_ASSERT(client.Contains("part of the body"));
+  }
+
   // Guards against the caller taking the next answer on the connection for the rest of this one.
   void AnswerNotOfItsLengthIsBroken() {
     for (const char* more : {"", "de>beyond"}) {
--- a/src/libcaller/exchange.cc
+++ b/src/libcaller/exchange.cc
@@ -24,6 +24,16 @@
   }
 }
 
+// Passes what the socket takes at once. A bufferevent writes in a later turn of the loop only, so a
+// caller would otherwise get not even the head of an answer that breaks in the turn it started in.
+void WriteWaiting(bufferevent* bufev) {
+  evbuffer* out = bufferevent_get_output(bufev);
+  // Bufferevents freeze the start of their output against all others.
+  evbuffer_unfreeze(out, 1);
+  evbuffer_write(out, bufferevent_getfd(bufev));
+  evbuffer_freeze(out, 1);
+}
+
 }  // namespace
 
 CallerServer::Exchange::Exchange(CallerServer* server, evhttp_request* req)
@@ -124,6 +134,7 @@
   finished_ = true;
   broken_ = true;
   ReleaseReply();
+  WriteWaiting(bufev_);
   if (close_delimited_) ResetConnection(bufev_);
   bufferevent_disable(bufev_, EV_READ | EV_WRITE);
   server_->CloseLater(connection_);
