Do not bound the reads of expired change sets by timing; drop an unused parameter

Cause: TimeLimitIncludesTheWait required exactly one read. With sanitizers on a loaded machine the second change set was committed late enough to have time left when the first expired, which the rule allows, and read the head too (seen: 2). The fault that the check guards against starts all 20. Ruled out: a longer limit; the difference between the commits grows with the load as well. Conclusion: at most half of the change sets may have started.

--- a/src/camphorhoistd/upstream_task.cc
+++ b/src/camphorhoistd/upstream_task.cc
@@ -75,8 +75,7 @@
   Upstream(event_base* base, const Options& options, const Announcement& announcement_in)
       : announcement(announcement_in),
         client(base, announcement.address, static_cast<size_t>(announcement.connections)),
-        gate(
-            *UpstreamGate::Create(options.admission, GateOptionsOf(options, announcement), Now())) {
+        gate(*UpstreamGate::Create(options.admission, GateOptionsOf(announcement), Now())) {
     client.SetAcceptsCancel(announcement.accepts_cancel);
   }
 
@@ -85,7 +84,7 @@
   UpstreamGate gate;
 
  private:
-  static GateOptions GateOptionsOf(const Options& options, const Announcement& announcement) {
+  static GateOptions GateOptionsOf(const Announcement& announcement) {
     GateOptions gate;
     gate.slots = static_cast<uint32_t>(announcement.slots);
     gate.connections = static_cast<uint32_t>(announcement.connections);
--- a/src/libplatform/committer_test.cc
+++ b/src/libplatform/committer_test.cc
@@ -355,7 +355,9 @@
     for (const AcceptOutcome& it : node.outcomes) {
       CPPUNIT_ASSERT(it.status == AcceptStatus::kUnknown);
     }
-    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, platform.server.meter().get);
+    // A change set that was committed a little later than the one before may start in the time that
+    // it has left; starting every one of them is the fault.
+    CPPUNIT_ASSERT(platform.server.meter().get <= kChanges / 2);
   }
 
   // The same for a change set whose turn comes while some of its time is left.
