--- a/src/camphorhoistd/upstream_task.cc
+++ b/src/camphorhoistd/upstream_task.cc
@@ -357,16 +357,16 @@
 void UpstreamTask::Carry(Upstream* upstream, const GateEffects& effects) {
   for (const GateEffect& it : effects) {
     if (const auto* start = std::get_if<StartCall>(&it)) {
-      StartOnUpstream(upstream, start->id);
+      StartOnUpstream(start->id);
     } else if (const auto* refuse = std::get_if<camphorhoist::Refuse>(&it)) {
       Refuse(upstream, *refuse);
     } else if (const auto* cancel = std::get_if<CancelRunning>(&it)) {
-      CancelOnUpstream(upstream, cancel->id);
+      CancelOnUpstream(cancel->id);
     }
   }
 }
 
-void UpstreamTask::StartOnUpstream(Upstream*, const CallId& id) {
+void UpstreamTask::StartOnUpstream(const CallId& id) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
   ++counters_.started;
@@ -388,7 +388,7 @@
   Remove(refuse.id);
 }
 
-void UpstreamTask::CancelOnUpstream(Upstream*, const CallId& id) {
+void UpstreamTask::CancelOnUpstream(const CallId& id) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
   it->second->Abort();
--- a/src/camphorhoistd/upstream_task.h
+++ b/src/camphorhoistd/upstream_task.h
@@ -96,9 +96,9 @@
   bool SeenByFormer(const CallId& id) const;
   void Publish();
   void Carry(Upstream* upstream, const GateEffects& effects);
-  void StartOnUpstream(Upstream* upstream, const CallId& id);
+  void StartOnUpstream(const CallId& id);
   void Refuse(Upstream* upstream, const Refuse& refuse);
-  void CancelOnUpstream(Upstream* upstream, const CallId& id);
+  void CancelOnUpstream(const CallId& id);
   void Finish(Call* call, FinishKind kind, NodeCallResult result);
   void Remove(const CallId& id);
   void Tick();
