--- /dev/null
+++ b/include/camphorhoist/mesh_config.h
@@ -0,0 +1,121 @@
+#ifndef CAMPHORHOIST_MESH_CONFIG_H_
+#define CAMPHORHOIST_MESH_CONFIG_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace camphorhoist {
+
+/// How often a request of a route may run, and how large its response is.
+enum class RequestKind : uint8_t {
+  kIdempotent,
+  /// At most one run per client attempt.
+  kNonIdempotent,
+  /// Idempotent, with a large response.
+  kBulk,
+};
+
+/// Part of the traffic of a route.
+struct WeightedService {
+  std::string service;
+  double weight = 1;
+
+  friend bool operator==(const WeightedService& a, const WeightedService& b) {
+    return std::tie(a.service, a.weight) == std::tie(b.service, b.weight);
+  }
+};
+
+/// A route of the sidecar's configuration.
+struct MeshRoute {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string path_prefix;
+  RequestKind kind = RequestKind::kNonIdempotent;
+  /// Longest time until the final response.
+  std::chrono::microseconds timeout{};
+  /// Latency objective.
+  std::chrono::microseconds objective{};
+  /// 0 is the most urgent.
+  int priority = 0;
+  /// Most servers that one client attempt may be sent to.
+  int max_servers = 1;
+  /// At least one.
+  std::vector<WeightedService> destinations;
+
+  bool idempotent() const { return kind != RequestKind::kNonIdempotent; }
+
+  friend bool operator==(const MeshRoute& a, const MeshRoute& b) {
+    return std::tie(a.name, a.host, a.path_prefix, a.kind, a.timeout, a.objective, a.priority,
+                    a.max_servers, a.destinations) ==
+           std::tie(b.name, b.host, b.path_prefix, b.kind, b.timeout, b.objective, b.priority,
+                    b.max_servers, b.destinations);
+  }
+};
+
+/// A service of the sidecar's configuration.
+struct MeshService {
+  std::string name;
+  std::string health_path;
+  /// Connections that one server accepts from all clients together.
+  uint32_t max_connections = 0;
+
+  friend bool operator==(const MeshService& a, const MeshService& b) {
+    return std::tie(a.name, a.health_path, a.max_connections) ==
+           std::tie(b.name, b.health_path, b.max_connections);
+  }
+};
+
+/// Bounds on what a client may send and how long it may take.
+struct ClientLimits {
+  size_t max_header_bytes = 16 << 10;
+  size_t max_body_bytes = 64 << 20;
+  std::chrono::microseconds header_timeout = std::chrono::seconds(10);
+  std::chrono::microseconds idle_timeout = std::chrono::seconds(60);
+
+  friend bool operator==(const ClientLimits& a, const ClientLimits& b) {
+    return std::tie(a.max_header_bytes, a.max_body_bytes, a.header_timeout, a.idle_timeout) ==
+           std::tie(b.max_header_bytes, b.max_body_bytes, b.header_timeout, b.idle_timeout);
+  }
+};
+
+/// One whole version of the configuration that sidecars run.
+///
+/// Immutable. Thread safety: const functions may be called from several threads.
+class MeshConfig {
+ public:
+  /// Precondition: no two routes have the same host and path prefix.
+  MeshConfig(uint64_t version, std::vector<MeshRoute> routes, std::vector<MeshService> services,
+             ClientLimits limits);
+  MeshConfig(const MeshConfig&) = delete;
+  MeshConfig& operator=(const MeshConfig&) = delete;
+
+  uint64_t version() const { return version_; }
+  const std::vector<MeshRoute>& routes() const { return routes_; }
+  const std::vector<MeshService>& services() const { return services_; }
+  const ClientLimits& limits() const { return limits_; }
+
+  /// Route with the longest prefix that begins the path of `target`, or nullptr. The port of `host`
+  /// and the query of `target` are ignored; the host is compared without regard to case.
+  const MeshRoute* Match(std::string_view host, std::string_view target) const;
+  /// Returns nullptr for an unknown name.
+  const MeshService* FindService(const std::string& name) const;
+
+ private:
+  uint64_t version_;
+  std::vector<MeshRoute> routes_;
+  std::vector<MeshService> services_;
+  ClientLimits limits_;
+  std::unordered_map<std::string, std::unordered_map<std::string, const MeshRoute*>> by_host_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_MESH_CONFIG_H_
--- /dev/null
+++ b/include/camphorhoist/server_picker.h
@@ -0,0 +1,68 @@
+#ifndef CAMPHORHOIST_SERVER_PICKER_H_
+#define CAMPHORHOIST_SERVER_PICKER_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "camphorhoist/server_queue.h"
+
+namespace camphorhoist {
+
+/// A server that can be offered calls.
+struct ServerCandidate {
+  /// Sidecar beside the server.
+  std::string node;
+  std::string zone;
+  /// Last load that the sidecar reported.
+  ServerLoad load;
+  ProxyTime load_time{};
+  /// Own calls offered since `load_time` that have no result yet.
+  uint32_t offered_since = 0;
+  /// Time left of the slow phase after the server's start, at `load_time`.
+  ProxyDuration warm_up{};
+  /// Recent share of failed calls, 0 to 1.
+  double failure_share = 0;
+};
+
+/// Chooses the server of a call by its expected completion: reported queue and own calls since the
+/// report, speed of the server, distance. Reports are late by the time since the last response, so
+/// the sidecar beside the server has the last word: it declines an offer whose wait is longer than
+/// the sender expects elsewhere.
+///
+/// Thread safety: none; use from one thread.
+class ServerPicker {
+ public:
+  /// Cost of leaving the zone; the second is for bulk responses, whose bytes between zones are
+  /// paid for.
+  static constexpr ProxyDuration kOtherZoneCost{2000};
+  static constexpr ProxyDuration kOtherZoneBulkCost{15000};
+  /// Time after which a report no longer tells of a queue.
+  static constexpr ProxyDuration kReportLifetime{400000};
+  /// Random part of the cost, as a share of the service time: keeps senders with equal reports from
+  /// choosing the same server.
+  static constexpr double kJitterShare = 0.3;
+  /// Servers are slow for some seconds after their start.
+  static constexpr double kColdFactor = 2.0;
+  /// Cost of a server that fails all calls, in service times.
+  static constexpr double kFailureCost = 8.0;
+
+  struct Choice {
+    size_t index = 0;
+    ProxyDuration cost{};
+  };
+
+  /// Best two of `candidates`, best first. `zone`: the own one.
+  static std::vector<Choice> Rank(ProxyTime now, const std::string& zone, bool bulk,
+                                  const std::vector<ServerCandidate>& candidates,
+                                  std::mt19937_64* rng);
+  /// Wait and service time that a call offered now is expected to have.
+  static ProxyDuration ExpectedCompletion(ProxyTime now, const ServerCandidate& candidate);
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_SERVER_PICKER_H_
--- a/src/libbase/http_client.cc
+++ b/src/libbase/http_client.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 #include "camphorhoist/error.h"
+#include "libbase/socket_options.h"
 
 namespace camphorhoist {
 
@@ -14,6 +15,10 @@
 
 constexpr size_t kMaxIdlePerServer = 4;
 
+// Only requests that wait longer, such as watches, need to notice a connection that went silent.
+constexpr std::chrono::milliseconds kProtectAfter{100};
+constexpr std::chrono::milliseconds kSilence{1500};
+
 struct MethodName {
   const char* name;
   evhttp_cmd_type type;
@@ -48,7 +53,8 @@
       : owner_(owner),
         server_(std::move(server)),
         callback_(std::move(callback)),
-        finish_(owner->base_, [this] { Finish(); }) {}
+        finish_(owner->base_, [this] { Finish(); }),
+        protect_(owner->base_, [this] { Protect(); }) {}
 
   void Start(EvhttpConnectionPtr connection, HttpRequest request,
              std::chrono::milliseconds timeout) {
@@ -69,6 +75,7 @@
       result_.error = Errc::kUnavailable;
       Schedule();
     }
+    protect_.StartOnce(kProtectAfter);
   }
 
  private:
@@ -103,6 +110,13 @@
     reusable_ = strcasecmp(result_.Header("Connection").c_str(), "close") != 0;
   }
 
+  // The socket exists only after the connection was started.
+  void Protect() {
+    if (connection_ == nullptr) return;
+    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get()));
+    if (fd >= 0) TuneSocket(fd, kSilence);
+  }
+
   void Schedule() { finish_.StartOnce(std::chrono::microseconds(0)); }
 
   void Finish() {
@@ -123,6 +137,7 @@
   HttpResponse result_;
   bool reusable_ = false;
   Timer finish_;
+  Timer protect_;
   EvhttpConnectionPtr connection_;
 };
 
--- /dev/null
+++ b/src/libbase/socket_options.cc
@@ -0,0 +1,28 @@
+#include "libbase/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace camphorhoist {
+
+namespace {
+
+void SetOption(int fd, int level, int name, int value) {
+  setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+void TuneSocket(int fd, std::chrono::milliseconds silence) {
+  constexpr int kProbeIntervalS = 1;
+  constexpr int kProbes = 2;
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(silence.count()));
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIntervalS);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalS);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libproxy/server_queue.cc
@@ -0,0 +1,152 @@
+#include "camphorhoist/server_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace camphorhoist {
+
+namespace {
+
+// Forgets all profiles when there are more; bounds memory against senders that invent profiles.
+constexpr size_t kMaxProfiles = 256;
+
+ProxyDuration FromMicros(double us) { return ProxyDuration(static_cast<int64_t>(us)); }
+
+}  // namespace
+
+ProxyDuration ServerQueue::ExpectedServiceTime(uint64_t profile) const {
+  const auto it = profile_us_.find(profile);
+  return FromMicros(it == profile_us_.end() ? mean_us_ : it->second);
+}
+
+ProxyTime ServerQueue::LatestStart(const PendingCall& call) const {
+  const ProxyDuration service = ExpectedServiceTime(call.profile);
+  return call.deadline - FromMicros(kMinUsefulShare * static_cast<double>(service.count()));
+}
+
+bool ServerQueue::GoesBefore(ProxyTime now, const PendingCall& a, const PendingCall& b) const {
+  const auto rank = [this, now](const PendingCall& call) {
+    const bool late = now + ExpectedServiceTime(call.profile) > call.objective;
+    return std::make_tuple(!call.nested, late, call.priority, call.objective);
+  };
+  return rank(a) < rank(b);
+}
+
+ProxyDuration ServerQueue::ExpectedWait(ProxyTime now, const PendingCall& call) const {
+  if (running_.size() < slots_ && waiting_.empty()) return ProxyDuration(0);
+  if (slots_ == 0) return std::chrono::hours(1);
+  double work_us = 0;
+  for (const auto& [key, it] : running_) {
+    const double total = static_cast<double>(ExpectedServiceTime(it.profile).count());
+    const double spent =
+        static_cast<double>(std::chrono::duration_cast<ProxyDuration>(now - it.since).count());
+    // A call beyond its expected time is taken to need a quarter of it more.
+    work_us += std::max(total - spent, total / 4);
+  }
+  for (const PendingCall& it : waiting_) {
+    if (GoesBefore(now, call, it)) continue;
+    work_us += static_cast<double>(ExpectedServiceTime(it.profile).count());
+  }
+  // With the work spread evenly, the first slot comes free half a call earlier than the last.
+  const double even = work_us / slots_;
+  return FromMicros(std::max(even - mean_us_ / 4, even / 2));
+}
+
+ServerQueue::Admission ServerQueue::Offer(ProxyTime now, const PendingCall& call,
+                                          ProxyDuration max_wait) {
+  if (now >= LatestStart(call)) return {Verdict::kHopeless, ProxyDuration(0)};
+  if (running_.size() < slots_ && waiting_.empty()) {
+    Start(now, call);
+    return {Verdict::kStart, ProxyDuration(0)};
+  }
+  const ProxyDuration wait = ExpectedWait(now, call);
+  if (waiting_.size() >= kMaxQueuePerSlot * std::max<size_t>(slots_, 1)) {
+    return {Verdict::kBusy, wait};
+  }
+  if (wait > max_wait) return {Verdict::kBusy, wait};
+  const ProxyTime done = now + wait + ExpectedServiceTime(call.profile);
+  const bool was_late = now + ExpectedServiceTime(call.profile) > call.objective;
+  if (now + wait > LatestStart(call) || (!was_late && done > call.objective)) {
+    return {Verdict::kHopeless, wait};
+  }
+  waiting_.push_back(call);
+  return {Verdict::kQueued, wait};
+}
+
+void ServerQueue::Start(ProxyTime now, const PendingCall& call) {
+  running_[call.key] = Running{now, call.profile};
+}
+
+std::vector<ServerQueue::Step> ServerQueue::Advance(ProxyTime now) {
+  std::vector<Step> steps;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (now >= LatestStart(*it)) {
+      steps.push_back({it->key, false});
+      it = waiting_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  while (!waiting_.empty() && running_.size() < slots_) {
+    const auto it = std::min_element(
+        waiting_.begin(), waiting_.end(),
+        [this, now](const PendingCall& a, const PendingCall& b) { return GoesBefore(now, a, b); });
+    Start(now, *it);
+    steps.push_back({it->key, true});
+    waiting_.erase(it);
+  }
+  return steps;
+}
+
+void ServerQueue::OnFinish(uint64_t key, std::optional<ProxyDuration> service_time) {
+  const auto it = running_.find(key);
+  if (it == running_.end()) return;
+  if (service_time) {
+    const double us = static_cast<double>(service_time->count());
+    mean_us_ += kServiceTimeGain * (us - mean_us_);
+    if (profile_us_.size() >= kMaxProfiles) profile_us_.clear();
+    const auto [profile, is_new] = profile_us_.try_emplace(it->second.profile, us);
+    if (!is_new) profile->second += kServiceTimeGain * (us - profile->second);
+  }
+  running_.erase(it);
+}
+
+bool ServerQueue::Withdraw(uint64_t key) {
+  const auto it = std::find_if(waiting_.begin(), waiting_.end(),
+                               [key](const PendingCall& call) { return call.key == key; });
+  if (it == waiting_.end()) return false;
+  waiting_.erase(it);
+  return true;
+}
+
+std::vector<uint64_t> ServerQueue::WithdrawAll() {
+  std::vector<uint64_t> keys;
+  keys.reserve(waiting_.size());
+  for (const PendingCall& it : waiting_) keys.push_back(it.key);
+  waiting_.clear();
+  return keys;
+}
+
+ServerLoad ServerQueue::load(ProxyTime now) const {
+  ServerLoad load;
+  load.running = static_cast<uint32_t>(running_.size());
+  load.queued = static_cast<uint32_t>(waiting_.size());
+  load.limit = slots_;
+  load.service_time = FromMicros(mean_us_);
+  PendingCall ordinary;
+  ordinary.objective = ProxyTime::max();
+  ordinary.priority = INT32_MAX;
+  load.expected_wait = ExpectedWait(now, ordinary);
+  return load;
+}
+
+std::optional<ProxyTime> ServerQueue::NextExpiry() const {
+  std::optional<ProxyTime> next;
+  for (const PendingCall& it : waiting_) {
+    const ProxyTime latest = LatestStart(it);
+    if (!next || latest < *next) next = latest;
+  }
+  return next;
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libproxy/upstream_registry.cc
@@ -0,0 +1,91 @@
+#include "camphorhoist/upstream_registry.h"
+
+#include <algorithm>
+
+namespace camphorhoist {
+
+namespace {
+
+bool SameStart(const UpstreamReport& a, const UpstreamReport& b) {
+  return a.instance == b.instance && a.started_ms == b.started_ms;
+}
+
+}  // namespace
+
+bool UpstreamRegistry::Departed(const UpstreamReport& report) const {
+  return std::any_of(departures_.begin(), departures_.end(),
+                     [&report](const UpstreamDeparture& it) {
+                       return it.instance == report.instance && it.started_ms == report.started_ms;
+                     });
+}
+
+bool UpstreamRegistry::OlderThanCurrent(const UpstreamReport& report) const {
+  if (!current_ || !current_->started_ms || !report.started_ms) return false;
+  return *report.started_ms < *current_->started_ms;
+}
+
+void UpstreamRegistry::Depart(const UpstreamReport& report) {
+  if (Departed(report)) return;
+  departures_.push_back({report.instance, report.started_ms});
+  if (departures_.size() > kMaxDepartures) departures_.pop_front();
+}
+
+void UpstreamRegistry::Restore(const UpstreamDeparture& departure) {
+  UpstreamReport report;
+  report.instance = departure.instance;
+  report.started_ms = departure.started_ms;
+  Depart(report);
+  if (current_ && SameStart(*current_, report)) current_->state = UpstreamState::kDraining;
+}
+
+UpstreamRegistry::Change UpstreamRegistry::Apply(ProxyTime now, const UpstreamReport& report) {
+  if (report.state == UpstreamState::kLeft) {
+    // A deregistration need not tell the time of the start.
+    const bool is_current = current_ && current_->instance == report.instance &&
+                            (!report.started_ms || report.started_ms == current_->started_ms);
+    if (!is_current) {
+      Depart(report);
+      return Change::kIgnored;
+    }
+    Depart(*current_);
+    const bool was_ready = current_->state == UpstreamState::kReady;
+    current_->state = UpstreamState::kLeft;
+    return was_ready ? Change::kLeaving : Change::kIgnored;
+  }
+  if (OlderThanCurrent(report)) return Change::kIgnored;
+  const bool same_start = current_ && SameStart(*current_, report);
+  if (same_start && report.sequence <= current_->sequence) return Change::kIgnored;
+  if (report.state == UpstreamState::kDraining) {
+    const bool was_ready = !same_start || current_->state == UpstreamState::kReady;
+    const bool had_left = same_start && current_->state == UpstreamState::kLeft;
+    Depart(report);
+    if (had_left) return Change::kIgnored;
+    current_ = report;
+    last_report_ = now;
+    return was_ready ? Change::kLeaving : Change::kRefreshed;
+  }
+  if (Departed(report)) return Change::kIgnored;
+  const bool was_ready = same_start && ready(now);
+  current_ = report;
+  last_report_ = now;
+  reachable_ = true;
+  return was_ready ? Change::kRefreshed : Change::kArrived;
+}
+
+bool UpstreamRegistry::ready(ProxyTime now) const {
+  return current_ && current_->state == UpstreamState::kReady && reachable_ && now < expiry();
+}
+
+bool UpstreamRegistry::Accepts(ProxyTime now, const std::string& service,
+                               const std::string& instance) const {
+  return ready(now) && current_->service == service &&
+         (instance.empty() || current_->instance == instance);
+}
+
+ProxyDuration UpstreamRegistry::warm_up_left(ProxyTime now) const {
+  if (!current_) return ProxyDuration(0);
+  const auto passed = std::chrono::duration_cast<ProxyDuration>(now - last_report_);
+  return std::max(ProxyDuration(0), current_->warm_up - passed);
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libsidecar/caller_connection.h
@@ -0,0 +1,79 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_CALLER_CONNECTION_H_
+#define CAMPHORHOIST_LIBSIDECAR_CALLER_CONNECTION_H_
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <string>
+
+#include "libbase/event_ptr.h"
+#include "libsidecar/caller_listener.h"
+
+namespace camphorhoist {
+
+/// One connection of a caller. Reads a request whole, hands it to the dispatcher, writes the
+/// response, and goes on with the next request. A caller that closes its connection cancels its
+/// call.
+///
+/// Thread safety: none; use on the thread of the event loop.
+class CallerConnection {
+ public:
+  /// Time for a caller to take the rest of a response after which the connection is closed.
+  static constexpr std::chrono::milliseconds kLinger{2000};
+  /// Bytes read ahead of the request under way.
+  static constexpr size_t kMaxReadAhead = 64 << 10;
+
+  CallerConnection(CallerListener* owner, uint64_t id, evutil_socket_t fd, bool nested);
+  ~CallerConnection();
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
+
+  /// No request is under way and none has begun.
+  bool idle() const;
+  void Close();
+
+ private:
+  enum class State : uint8_t { kReading, kCalling, kClosing };
+
+  static void OnRead(bufferevent* bufev, void* arg);
+  static void OnWritten(bufferevent* bufev, void* arg);
+  static void OnEvent(bufferevent* bufev, short what,  // NOLINT(google-runtime-int): libevent
+                      void* arg);
+  static int OnMessageBegin(http_parser* parser);
+  static int OnUrl(http_parser* parser, const char* at, size_t size);
+  static int OnHeaderField(http_parser* parser, const char* at, size_t size);
+  static int OnHeaderValue(http_parser* parser, const char* at, size_t size);
+  static int OnHeadersComplete(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* at, size_t size);
+  static int OnMessageComplete(http_parser* parser);
+  static const http_parser_settings* ParserSettings();
+
+  void Parse();
+  void RejectRequest(int status);
+  void BeginCall();
+  void Respond(CallerResponse response);
+  void CloseAfterWrite();
+  void ArmTimer();
+  void OnTimeout();
+
+  CallerListener* owner_;
+  uint64_t id_;
+  bool nested_;
+  State state_ = State::kReading;
+  http_parser parser_{};
+  /// Status of an own refusal that the parser found out; 0 for none.
+  int reject_status_ = 0;
+  bool started_ = false;
+  bool complete_ = false;
+  bool keep_alive_ = false;
+  bool last_was_value_ = false;
+  size_t head_bytes_ = 0;
+  CallerRequest request_;
+  Dispatcher::Handle call_ = 0;
+  Timer timer_;
+  BuffereventPtr bufev_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_CALLER_CONNECTION_H_
--- /dev/null
+++ b/src/libsidecar/caller_listener.cc
@@ -0,0 +1,57 @@
+#include "libsidecar/caller_listener.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <utility>
+
+#include "libsidecar/caller_connection.h"
+
+namespace camphorhoist {
+
+CallerListener::CallerListener(event_base* base, std::string own_ip, Dispatcher* dispatcher,
+                               SidecarMetrics* metrics)
+    : base_(base),
+      own_ip_(std::move(own_ip)),
+      dispatcher_(dispatcher),
+      metrics_(metrics),
+      cleanup_(base, [this] { released_.clear(); }) {}
+
+CallerListener::~CallerListener() = default;
+
+bool CallerListener::Start(const NetAddress& address, std::error_code* ec) {
+  listener_ = Listen(base_, address, &CallerListener::OnAccept, this, ec);
+  return listener_ != nullptr;
+}
+
+const ClientLimits& CallerListener::limits() const {
+  static const ClientLimits kDefaults;
+  return dispatcher_->config() == nullptr ? kDefaults : dispatcher_->config()->limits();
+}
+
+void CallerListener::OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr* peer, int, void* arg) {
+  auto* self = static_cast<CallerListener*>(arg);
+  char ip[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &reinterpret_cast<sockaddr_in*>(peer)->sin_addr, ip, sizeof(ip));
+  const uint64_t id = self->next_id_++;
+  self->connections_.emplace(id,
+                             std::make_unique<CallerConnection>(self, id, fd, self->own_ip_ == ip));
+}
+
+void CallerListener::Release(uint64_t id) {
+  const auto it = connections_.find(id);
+  if (it == connections_.end()) return;
+  released_.push_back(std::move(it->second));
+  connections_.erase(it);
+  cleanup_.StartOnce(std::chrono::microseconds(0));
+}
+
+void CallerListener::CloseIdle() {
+  std::vector<CallerConnection*> idle;
+  for (const auto& it : connections_) {
+    if (it.second->idle()) idle.push_back(it.second.get());
+  }
+  for (CallerConnection* it : idle) it->Close();
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libsidecar/caller_listener.h
@@ -0,0 +1,63 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_CALLER_LISTENER_H_
+#define CAMPHORHOIST_LIBSIDECAR_CALLER_LISTENER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "libsidecar/dispatcher.h"
+#include "libsidecar/peer_listener.h"
+
+namespace camphorhoist {
+
+class CallerConnection;
+
+/// Accepts the connections of callers on this VM and hands their requests to the dispatcher, one at
+/// a time per connection.
+///
+/// Thread safety: none; use on the thread of the event loop.
+class CallerListener {
+ public:
+  /// Preconditions: the pointers outlive the listener. `own_ip`: requests from it are those of the
+  /// upstream on this VM.
+  CallerListener(event_base* base, std::string own_ip, Dispatcher* dispatcher,
+                 SidecarMetrics* metrics);
+  ~CallerListener();
+  CallerListener(const CallerListener&) = delete;
+  CallerListener& operator=(const CallerListener&) = delete;
+
+  bool Start(const NetAddress& address, std::error_code* ec);
+  /// Closes each connection after its next response, and idle ones when `CloseIdle` is called.
+  void StopKeepAlive() { keep_alive_ = false; }
+  void CloseIdle();
+  bool keep_alive() const { return keep_alive_; }
+  size_t connections() const { return connections_.size(); }
+
+  event_base* base() const { return base_; }
+  Dispatcher* dispatcher() const { return dispatcher_; }
+  SidecarMetrics* metrics() const { return metrics_; }
+  const ClientLimits& limits() const;
+  /// Destroys a connection in a later turn of the loop.
+  void Release(uint64_t id);
+
+ private:
+  static void OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr* peer, int size, void* arg);
+
+  event_base* base_;
+  std::string own_ip_;
+  Dispatcher* dispatcher_;
+  SidecarMetrics* metrics_;
+  ListenerPtr listener_;
+  bool keep_alive_ = true;
+  uint64_t next_id_ = 1;
+  std::map<uint64_t, std::unique_ptr<CallerConnection>> connections_;
+  std::vector<std::unique_ptr<CallerConnection>> released_;
+  Timer cleanup_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_CALLER_LISTENER_H_
--- /dev/null
+++ b/src/libsidecar/dispatcher.cc
@@ -0,0 +1,472 @@
+#include "libsidecar/dispatcher.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "libbase/log.h"
+#include "libcaller/http_headers.h"
+#include "platform/message_headers.h"
+
+namespace camphorhoist {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kBadRequest = 400;
+constexpr int kBadGateway = 502;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kInternalError = 500;
+/// Accepts any wait; whether the call is hopeless is decided beside the server.
+constexpr ProxyDuration kAnyWait = std::chrono::minutes(10);
+/// Least wait that a sender accepts, so that offers do not go round for a difference that the
+/// network delay makes up.
+constexpr ProxyDuration kMinAcceptedWait{3000};
+
+// Routes of one service with equal times serve the same kind of work, whatever their names.
+uint64_t ProfileOf(const MeshRoute& route, const std::string& service, const std::string& method) {
+  const std::string text =
+      service + "|" + method + "|" + std::to_string(static_cast<int>(route.kind)) + "|" +
+      std::to_string(route.objective.count()) + "|" + std::to_string(route.priority);
+  return XXH64(text.data(), text.size(), 0);
+}
+
+double Milliseconds(ProxyDuration duration) { return static_cast<double>(duration.count()) / 1000; }
+
+}  // namespace
+
+Dispatcher::Dispatcher(event_base* base, const SidecarSettings* settings, uint64_t incarnation,
+                       PeerDirectory* directory, LocalUpstream* local, SidecarMetrics* metrics)
+    : base_(base),
+      settings_(settings),
+      incarnation_(incarnation),
+      directory_(directory),
+      local_(local),
+      metrics_(metrics),
+      budget_(settings->retry_budget),
+      rng_(incarnation),
+      local_results_(
+          base, [this](CallResult result) { OnResult(directory_->self(), std::move(result)); }) {}
+
+const std::string& Dispatcher::ChooseService(const MeshRoute& route) {
+  double total = 0;
+  for (const WeightedService& it : route.destinations) total += it.weight;
+  double point = std::uniform_real_distribution<double>(0, total)(rng_);
+  for (const WeightedService& it : route.destinations) {
+    point -= it.weight;
+    if (point < 0 && it.weight > 0) return it.service;
+  }
+  return route.destinations.back().service;
+}
+
+// A caller that comes back after a refusal gives the time that it has left; its objective runs from
+// its first attempt.
+ProxyDuration Dispatcher::TimeSpent(uint64_t profile, ProxyDuration timeout) {
+  constexpr size_t kMaxProfiles = 1024;
+  if (longest_timeout_.size() > kMaxProfiles) longest_timeout_.clear();
+  ProxyDuration& longest = longest_timeout_[profile];
+  longest = std::max(longest, timeout);
+  return longest - timeout;
+}
+
+Dispatcher::Handle Dispatcher::Start(CallerRequest request, Callback callback) {
+  auto owned = std::make_unique<Call>();
+  Call* call = owned.get();
+  call->handle = next_handle_++;
+  call->request = std::move(request);
+  call->callback = std::move(callback);
+  call->arrived = steady_clock::now();
+  const Handle handle = call->handle;
+  calls_.emplace(handle, std::move(owned));
+  metrics_->Count("requests_total");
+
+  const platform::CallerHeaders caller = platform::DecodeCallerHeaders(call->request.headers);
+  call->request_id = caller.request_id;
+  call->deadline = call->arrived + kStartupRetryAfter;
+  if (config_ == nullptr) {
+    Refuse(call, "no_configuration");
+    return handle;
+  }
+  const std::string host = FindHeader(call->request.headers, "Host").value_or("");
+  const MeshRoute* route = config_->Match(host, call->request.target);
+  if (route == nullptr) {
+    Fail(call, kNotFound, "no_route");
+    return handle;
+  }
+  if (call->request_id.empty()) {
+    Fail(call, kBadRequest, "no_request_id");
+    return handle;
+  }
+  call->route = *route;
+  call->service = ChooseService(*route);
+  call->profile = ProfileOf(*route, call->service, call->request.method);
+  ProxyDuration timeout = route->timeout;
+  ProxyDuration spent(0);
+  if (caller.timeout) {
+    timeout = std::min<ProxyDuration>(timeout, *caller.timeout);
+    spent = TimeSpent(call->profile, *caller.timeout);
+  }
+  call->deadline = call->arrived + timeout;
+  call->objective = call->arrived + route->objective - spent;
+  budget_.OnRequest(call->arrived, call->service);
+  call->timer = std::make_unique<Timer>(base_, [this, handle] { OnDeadline(handle); });
+  call->timer->StartOnce(timeout + kResultSlack);
+  Place(call);
+  return handle;
+}
+
+std::vector<Peer*> Dispatcher::Candidates(const Call& call, const std::set<std::string>& excluded) {
+  std::vector<Peer*> candidates;
+  for (const auto& [node, peer] : directory_->peers()) {
+    const UpstreamStatus& status = peer->status;
+    if (!status.ready || status.service != call.service || !peer->up()) continue;
+    if (excluded.count(node) == 0) candidates.push_back(peer.get());
+  }
+  return candidates;
+}
+
+double Dispatcher::FailureShare(const Peer& peer, ProxyTime now) const {
+  const double age = std::chrono::duration<double>(now - peer.failure_time).count();
+  const double memory = std::chrono::duration<double>(kFailureMemory).count();
+  return peer.failure_share * std::exp(-age / memory);
+}
+
+void Dispatcher::RecordOutcome(Peer* peer, bool failed) {
+  const auto now = steady_clock::now();
+  const double share = FailureShare(*peer, now);
+  peer->failure_share = share + kFailureGain * ((failed ? 1.0 : 0.0) - share);
+  peer->failure_time = now;
+}
+
+void Dispatcher::Place(Call* call) {
+  const auto now = steady_clock::now();
+  std::vector<Peer*> peers = Candidates(*call, call->excluded);
+  bool last_round = call->offers >= kMaxOffers || peers.empty();
+  if (last_round) {
+    // Among those that were only busy, the least so.
+    std::set<std::string> excluded = call->excluded;
+    for (const std::string& node : call->busy) excluded.erase(node);
+    peers = Candidates(*call, excluded);
+    if (call->final_offer || peers.empty()) {
+      return Refuse(call, call->busy.empty() ? "no_server" : "overload");
+    }
+  }
+  std::vector<ServerCandidate> candidates;
+  candidates.reserve(peers.size());
+  for (const Peer* it : peers) {
+    ServerCandidate candidate;
+    candidate.node = it->node;
+    candidate.zone = it->data_centre;
+    candidate.load = it->status.load;
+    candidate.load_time = it->load_time;
+    candidate.offered_since = it->offered_since;
+    candidate.warm_up = it->status.warm_up;
+    candidate.failure_share = FailureShare(*it, now);
+    candidates.push_back(std::move(candidate));
+  }
+  const bool bulk = call->route.kind == RequestKind::kBulk;
+  const auto choices = ServerPicker::Rank(now, settings_->data_centre, bulk, candidates, &rng_);
+  Peer* peer = peers[choices[0].index];
+  ProxyDuration max_wait = kAnyWait;
+  if (last_round || (choices.size() < 2 && call->busy.empty())) {
+    call->final_offer = true;
+  } else if (choices.size() < 2) {
+    max_wait = std::max(kMinAcceptedWait, call->least_wait);
+  } else {
+    max_wait = std::max(kMinAcceptedWait, choices[1].cost - peer->status.load.service_time);
+  }
+  Offer(call, peer, max_wait);
+}
+
+void Dispatcher::Offer(Call* call, Peer* peer, ProxyDuration max_wait) {
+  ++call->offers;
+  ++peer->offered_since;
+  call->offer_id = CallId(incarnation_, next_offer_++);
+  call->node = peer->node;
+  call->node_incarnation = peer->incarnation;
+  call->lost = false;
+  call->by_bulk_link =
+      call->route.kind == RequestKind::kBulk && !peer->local() && peer->bulk_link->up();
+  by_offer_[call->offer_id] = call->handle;
+  if (!peer->local()) LinkOf(*call, peer)->AddOutstanding(1);
+  SendOffer(call, peer, max_wait);
+}
+
+PeerLink* Dispatcher::LinkOf(const Call& call, Peer* peer) const {
+  return call.by_bulk_link ? peer->bulk_link.get() : peer->link.get();
+}
+
+void Dispatcher::SendOffer(Call* call, Peer* peer, ProxyDuration max_wait) {
+  const auto now = steady_clock::now();
+  CallOffer offer;
+  offer.id = call->offer_id;
+  offer.service = call->service;
+  offer.instance = peer->status.instance;
+  offer.request_id = call->request_id;
+  offer.method = call->request.method;
+  offer.target = call->request.target;
+  offer.headers = call->request.headers;
+  offer.body = call->request.body;
+  offer.origin_service = settings_->service;
+  offer.time_left = duration_cast<ProxyDuration>(call->deadline - now);
+  offer.objective_left = duration_cast<ProxyDuration>(call->objective - now);
+  offer.profile = call->profile;
+  offer.priority = call->route.priority;
+  offer.nested = call->request.nested;
+  offer.idempotent = call->route.idempotent();
+  offer.max_wait = max_wait;
+  if (!peer->local()) return LinkOf(*call, peer)->Send(offer);
+  local_->Offer(std::move(offer), 0,
+                [this](const CallResult& result) { local_results_.Post(result); });
+}
+
+void Dispatcher::OnResult(Peer* peer, CallResult result) {
+  directory_->UpdateLoad(peer, result.load);
+  const auto it = by_offer_.find(result.id);
+  if (it == by_offer_.end()) return;
+  Call* call = calls_.at(it->second).get();
+  Release(call);
+  if (result.reached_upstream) ++call->servers_reached;
+  switch (result.kind) {
+    case ResultKind::kNotRun:
+      return OnNotRun(call, peer, result);
+    case ResultKind::kUnknown:
+      RecordOutcome(peer, true);
+      return OnUnknown(call, peer->node, result.reason);
+    case ResultKind::kResponse:
+      break;
+  }
+  const bool failed = result.status >= kInternalError;
+  RecordOutcome(peer, failed);
+  if (failed && call->route.idempotent() && MayRepeat(call)) {
+    LogEvent(LogLevel::kInfo, "call", "repeated")
+        .Add("request", call->request_id)
+        .Add("node", peer->node)
+        .Add("status", result.status);
+    call->excluded.insert(peer->node);
+    return Place(call);
+  }
+  metrics_->Count("responses_total");
+  Finish(call, {result.status, std::move(result.headers), std::move(result.body)});
+}
+
+void Dispatcher::OnNotRun(Call* call, Peer* peer, const CallResult& result) {
+  metrics_->Count("offers_declined_total", ToString(result.reason));
+  call->excluded.insert(peer->node);
+  if (result.reason == ResultReason::kBusy || result.reason == ResultReason::kHopeless) {
+    call->least_wait = std::min(call->least_wait, result.load.expected_wait);
+    if (call->final_offer) return Refuse(call, ToString(result.reason));
+    call->busy.insert(peer->node);
+    return Place(call);
+  }
+  if (!result.reached_upstream) {
+    // Declared anew by the peer's next status.
+    peer->status.ready = false;
+    call->final_offer = false;
+    return Place(call);
+  }
+  RecordOutcome(peer, true);
+  if (!MayRepeat(call)) return Refuse(call, ToString(result.reason));
+  call->final_offer = false;
+  Place(call);
+}
+
+bool Dispatcher::MayRepeat(Call* call) {
+  const auto now = steady_clock::now();
+  if (call->servers_reached >= call->route.max_servers) return false;
+  if (call->deadline - now < kMinRepeatTime) return false;
+  if (Candidates(*call, call->excluded).empty()) return false;
+  if (!budget_.TryTake(now, call->service, directory_->size())) {
+    metrics_->Count("repeats_without_budget_total");
+    return false;
+  }
+  metrics_->Count("repeats_total");
+  return true;
+}
+
+void Dispatcher::OnUnknown(Call* call, const std::string& node, ResultReason reason) {
+  call->excluded.insert(node);
+  if (call->route.idempotent() && MayRepeat(call)) {
+    LogEvent(LogLevel::kInfo, "call", "repeated")
+        .Add("request", call->request_id)
+        .Add("node", node)
+        .Add("reason", ToString(reason));
+    call->final_offer = false;
+    return Place(call);
+  }
+  const bool expired = reason == ResultReason::kTimeout || steady_clock::now() >= call->deadline;
+  Fail(call, expired ? kGatewayTimeout : kBadGateway, ToString(reason));
+}
+
+void Dispatcher::OnPeerUp(Peer* peer) {
+  std::vector<Handle> handles;
+  for (const auto& [handle, call] : calls_) {
+    if (call->lost && call->node == peer->node) handles.push_back(handle);
+  }
+  for (const Handle handle : handles) {
+    const auto it = calls_.find(handle);
+    if (it == calls_.end()) continue;
+    Call* call = it->second.get();
+    call->lost_timer.reset();
+    if (call->node_incarnation == peer->incarnation) {
+      // The id of the offer stays, so that the peer does not run it twice.
+      call->lost = false;
+      call->by_bulk_link = false;
+      peer->link->AddOutstanding(1);
+      SendOffer(call, peer, kAnyWait);
+    } else {
+      call->lost = false;
+      by_offer_.erase(call->offer_id);
+      call->offer_id = CallId();
+      ++call->servers_reached;
+      OnUnknown(call, peer->node, ResultReason::kConnectionLost);
+    }
+  }
+}
+
+void Dispatcher::OnPeerDown(Peer* peer, bool gone) {
+  std::vector<Handle> handles;
+  for (const auto& [handle, call] : calls_) {
+    if (call->node != peer->node || by_offer_.count(call->offer_id) == 0) continue;
+    if (!call->lost && LinkOf(*call, peer)->up()) continue;
+    handles.push_back(handle);
+  }
+  for (const Handle handle : handles) {
+    const auto it = calls_.find(handle);
+    if (it == calls_.end()) continue;
+    Call* call = it->second.get();
+    if (!call->lost) LinkOf(*call, peer)->AddOutstanding(-1);
+    if (gone) {
+      call->lost = false;
+      call->lost_timer.reset();
+      by_offer_.erase(call->offer_id);
+      call->offer_id = CallId();
+      ++call->servers_reached;
+      OnUnknown(call, peer->node, ResultReason::kConnectionLost);
+      continue;
+    }
+    if (call->lost) continue;
+    call->lost = true;
+    if (call->by_bulk_link && peer->link->up()) {
+      // The other connection still works.
+      call->lost = false;
+      call->by_bulk_link = false;
+      peer->link->AddOutstanding(1);
+      SendOffer(call, peer, kAnyWait);
+      continue;
+    }
+    if (!call->route.idempotent()) continue;
+    call->lost_timer = std::make_unique<Timer>(base_, [this, handle] { OnLostTooLong(handle); });
+    call->lost_timer->StartOnce(kReconnectWait);
+  }
+}
+
+void Dispatcher::OnLostTooLong(Handle handle) {
+  const auto it = calls_.find(handle);
+  if (it == calls_.end() || !it->second->lost) return;
+  Call* call = it->second.get();
+  call->lost = false;
+  by_offer_.erase(call->offer_id);
+  call->offer_id = CallId();
+  ++call->servers_reached;
+  OnUnknown(call, call->node, ResultReason::kConnectionLost);
+}
+
+// Ends the offer under way, without telling the peer.
+void Dispatcher::Release(Call* call) {
+  if (by_offer_.erase(call->offer_id) == 0) return;
+  Peer* peer = directory_->Find(call->node);
+  if (peer != nullptr && !peer->local() && !call->lost) LinkOf(*call, peer)->AddOutstanding(-1);
+  call->lost = false;
+}
+
+void Dispatcher::Cancel(Handle handle) {
+  const auto it = calls_.find(handle);
+  if (it == calls_.end()) return;
+  Call* call = it->second.get();
+  if (by_offer_.count(call->offer_id) != 0) {
+    Peer* peer = directory_->Find(call->node);
+    if (peer != nullptr && peer->local()) {
+      local_->Cancel(call->offer_id);
+    } else if (peer != nullptr && !call->lost) {
+      LinkOf(*call, peer)->Send(CallCancel{call->offer_id});
+    }
+    Release(call);
+  }
+  metrics_->Count("cancelled_total");
+  calls_.erase(it);
+}
+
+void Dispatcher::OnDeadline(Handle handle) {
+  const auto it = calls_.find(handle);
+  if (it == calls_.end()) return;
+  Call* call = it->second.get();
+  if (by_offer_.count(call->offer_id) != 0) {
+    Peer* peer = directory_->Find(call->node);
+    if (peer != nullptr && peer->local()) {
+      local_->Cancel(call->offer_id);
+    } else if (peer != nullptr && !call->lost) {
+      LinkOf(*call, peer)->Send(CallCancel{call->offer_id});
+    }
+    Release(call);
+  }
+  Fail(call, kGatewayTimeout, "deadline");
+}
+
+void Dispatcher::Refuse(Call* call, const char* reason) {
+  const auto now = steady_clock::now();
+  const ProxyDuration left =
+      std::max(ProxyDuration(0), duration_cast<ProxyDuration>(call->deadline - now));
+  ProxyDuration delay = kStartupRetryAfter;
+  if (call->least_wait != ProxyDuration::max()) {
+    // Room for this call comes when the queue has shrunk to what its objective allows.
+    delay = std::max<ProxyDuration>(kMinRetryAfter, call->least_wait / 2);
+  }
+  delay = std::min<ProxyDuration>(delay, std::max<ProxyDuration>(left / 3, kMinRetryAfter));
+  metrics_->Count("refused_total", reason);
+  LogEvent(LogLevel::kInfo, "call", "refused")
+      .Add("request", call->request_id)
+      .Add("service", call->service)
+      .Add("reason", reason)
+      .Add("offers", call->offers)
+      .Add("wait_ms",
+           call->least_wait == ProxyDuration::max() ? -1 : Milliseconds(call->least_wait))
+      .Add("held_ms", Milliseconds(duration_cast<ProxyDuration>(now - call->arrived)))
+      .Add("retry_after_ms", Milliseconds(delay));
+  CallerResponse response;
+  response.status = kServiceUnavailable;
+  platform::AddRetryAfter(duration_cast<milliseconds>(delay), &response.headers);
+  Finish(call, std::move(response));
+}
+
+void Dispatcher::Fail(Call* call, int status, const char* reason) {
+  metrics_->Count("failed_total", reason);
+  LogEvent(LogLevel::kInfo, "call", "failed")
+      .Add("request", call->request_id)
+      .Add("service", call->service)
+      .Add("status", status)
+      .Add("reason", reason)
+      .Add("node", call->node)
+      .Add("offers", call->offers)
+      .Add("held_ms",
+           Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->arrived)));
+  CallerResponse response;
+  response.status = status;
+  Finish(call, std::move(response));
+}
+
+void Dispatcher::Finish(Call* call, CallerResponse response) {
+  metrics_->ObserveLatency(duration_cast<ProxyDuration>(steady_clock::now() - call->arrived));
+  const Callback callback = std::move(call->callback);
+  calls_.erase(call->handle);
+  callback(std::move(response));
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libsidecar/dispatcher.h
@@ -0,0 +1,156 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_DISPATCHER_H_
+#define CAMPHORHOIST_LIBSIDECAR_DISPATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "camphorhoist/fleet_retry_budget.h"
+#include "camphorhoist/mesh_config.h"
+#include "camphorhoist/server_picker.h"
+#include "camphorhoist/sidecar_settings.h"
+#include "libbase/mailbox.h"
+#include "libsidecar/local_upstream.h"
+#include "libsidecar/peer_directory.h"
+#include "libsidecar/sidecar_metrics.h"
+
+namespace camphorhoist {
+
+/// A whole request of a caller on this VM.
+struct CallerRequest {
+  std::string method;
+  std::string target;
+  HttpHeaders headers;
+  std::string body;
+  /// Made by the upstream on this VM.
+  bool nested = false;
+};
+
+struct CallerResponse {
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+};
+
+/// Carries the requests of the callers on this VM: chooses the route and the server, offers the
+/// call to the sidecar beside it, and decides after each result whether to answer, to offer the
+/// call elsewhere or to give up.
+///
+/// Thread safety: none; use on the thread of the event loop.
+class Dispatcher {
+ public:
+  using Handle = uint64_t;
+  using Callback = std::function<void(CallerResponse)>;
+
+  /// Offers of one call before it has to take the best server found so far.
+  static constexpr int kMaxOffers = 4;
+  /// Time to reach the sidecar again after its connection broke, before an idempotent call is sent
+  /// to another one.
+  static constexpr std::chrono::milliseconds kReconnectWait{250};
+  /// Time for the final result beyond the deadline, over that of the sidecar beside the server.
+  static constexpr std::chrono::milliseconds kResultSlack{200};
+  /// A repeat with less time left does not help.
+  static constexpr std::chrono::milliseconds kMinRepeatTime{20};
+  /// Time in which the influence of a failure on the choice of a server falls to a third.
+  static constexpr std::chrono::milliseconds kFailureMemory{3000};
+  static constexpr double kFailureGain = 0.15;
+  /// Shortest Retry-After; a shorter one meets the same queue again.
+  static constexpr std::chrono::milliseconds kMinRetryAfter{50};
+  /// Retry-After while this sidecar has no configuration or no server.
+  static constexpr std::chrono::milliseconds kStartupRetryAfter{300};
+
+  /// Preconditions: all pointers outlive the dispatcher.
+  Dispatcher(event_base* base, const SidecarSettings* settings, uint64_t incarnation,
+             PeerDirectory* directory, LocalUpstream* local, SidecarMetrics* metrics);
+
+  void SetConfig(std::shared_ptr<const MeshConfig> config) { config_ = std::move(config); }
+  const std::shared_ptr<const MeshConfig>& config() const { return config_; }
+
+  /// Starts a call. `callback` runs once, possibly from inside this function, unless the call is
+  /// cancelled.
+  Handle Start(CallerRequest request, Callback callback);
+  /// The caller has left.
+  void Cancel(Handle handle);
+  size_t active() const { return calls_.size(); }
+
+  void OnResult(Peer* peer, CallResult result);
+  void OnPeerUp(Peer* peer);
+  void OnPeerDown(Peer* peer, bool gone);
+
+ private:
+  struct Call {
+    Handle handle = 0;
+    CallerRequest request;
+    Callback callback;
+    std::string request_id;
+    MeshRoute route;
+    std::string service;
+    uint64_t profile = 0;
+    ProxyTime arrived{};
+    ProxyTime deadline{};
+    ProxyTime objective{};
+    /// Offer under way, and the sidecar it was made to.
+    CallId offer_id;
+    std::string node;
+    uint64_t node_incarnation = 0;
+    bool by_bulk_link = false;
+    /// The connection to `node` broke with the offer under way.
+    bool lost = false;
+    /// The offer under way accepts any wait.
+    bool final_offer = false;
+    int offers = 0;
+    int servers_reached = 0;
+    /// Sidecars that declined or failed.
+    std::set<std::string> excluded;
+    /// Those of them that only had a longer queue.
+    std::set<std::string> busy;
+    ProxyDuration least_wait = ProxyDuration::max();
+    std::unique_ptr<Timer> timer;
+    std::unique_ptr<Timer> lost_timer;
+  };
+
+  const std::string& ChooseService(const MeshRoute& route);
+  ProxyDuration TimeSpent(uint64_t profile, ProxyDuration timeout);
+  void Place(Call* call);
+  std::vector<Peer*> Candidates(const Call& call, const std::set<std::string>& excluded);
+  void Offer(Call* call, Peer* peer, ProxyDuration max_wait);
+  void SendOffer(Call* call, Peer* peer, ProxyDuration max_wait);
+  void OnNotRun(Call* call, Peer* peer, const CallResult& result);
+  void OnUnknown(Call* call, const std::string& node, ResultReason reason);
+  bool MayRepeat(Call* call);
+  void OnDeadline(Handle handle);
+  void OnLostTooLong(Handle handle);
+  void Refuse(Call* call, const char* reason);
+  void Fail(Call* call, int status, const char* reason);
+  void Finish(Call* call, CallerResponse response);
+  void Release(Call* call);
+  PeerLink* LinkOf(const Call& call, Peer* peer) const;
+  void RecordOutcome(Peer* peer, bool failed);
+  double FailureShare(const Peer& peer, ProxyTime now) const;
+
+  event_base* base_;
+  const SidecarSettings* settings_;
+  uint64_t incarnation_;
+  PeerDirectory* directory_;
+  LocalUpstream* local_;
+  SidecarMetrics* metrics_;
+  std::shared_ptr<const MeshConfig> config_;
+  FleetRetryBudget budget_;
+  std::mt19937_64 rng_;
+  Handle next_handle_ = 1;
+  uint64_t next_offer_ = 1;
+  std::unordered_map<Handle, std::unique_ptr<Call>> calls_;
+  std::unordered_map<CallId, Handle> by_offer_;
+  /// Longest time that callers have given calls of a profile: that of their first attempts.
+  std::unordered_map<uint64_t, ProxyDuration> longest_timeout_;
+  Mailbox<CallResult> local_results_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_DISPATCHER_H_
--- /dev/null
+++ b/src/libsidecar/frame_stream.cc
@@ -0,0 +1,75 @@
+#include "libsidecar/frame_stream.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "libbase/socket_options.h"
+
+namespace camphorhoist {
+
+FrameStream::FrameStream(event_base* base, evutil_socket_t fd, Handlers handlers)
+    : handlers_(std::move(handlers)),
+      bufev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+  TuneSocket(fd, kSilence);
+  bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, nullptr, &FrameStream::OnEvent, this);
+  bufferevent_enable(bufev_.get(), EV_READ | EV_WRITE);
+}
+
+FrameStream::FrameStream(event_base* base, const NetAddress& address,
+                         std::chrono::milliseconds timeout, Handlers handlers)
+    : handlers_(std::move(handlers)),
+      bufev_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)) {
+  bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, nullptr, &FrameStream::OnEvent, this);
+  const timeval tv = ToTimeval(timeout);
+  bufferevent_set_timeouts(bufev_.get(), nullptr, &tv);
+  sockaddr_in sin{};
+  sin.sin_family = AF_INET;
+  sin.sin_port = htons(address.port());
+  inet_pton(AF_INET, address.ip().c_str(), &sin.sin_addr);
+  bufferevent_enable(bufev_.get(), EV_READ | EV_WRITE);
+  bufferevent_socket_connect(bufev_.get(), reinterpret_cast<sockaddr*>(&sin), sizeof(sin));
+}
+
+void FrameStream::Send(const PeerMessage& message) {
+  if (bufev_ != nullptr) AppendFrame(message, bufferevent_get_output(bufev_.get()));
+}
+
+void FrameStream::Close() { bufev_.reset(); }
+
+void FrameStream::Fail(const std::string& reason) {
+  bufev_.reset();
+  // The handler may arrange for the destruction of this object, so it is called last.
+  const auto handler = handlers_.on_closed;
+  handler(reason);
+}
+
+void FrameStream::OnRead(bufferevent* bufev, void* arg) {
+  auto* self = static_cast<FrameStream*>(arg);
+  evbuffer* input = bufferevent_get_input(bufev);
+  while (self->bufev_ != nullptr) {
+    PeerMessage message;
+    const FrameStatus status = TakeFrame(input, &message);
+    if (status == FrameStatus::kNeedMore) return;
+    if (status == FrameStatus::kBroken) return self->Fail("malformed frame");
+    self->handlers_.on_message(std::move(message));
+  }
+}
+
+void FrameStream::OnEvent(bufferevent* bufev, short what,  // NOLINT(google-runtime-int): libevent
+                          void* arg) {
+  auto* self = static_cast<FrameStream*>(arg);
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    bufferevent_set_timeouts(bufev, nullptr, nullptr);
+    TuneSocket(bufferevent_getfd(bufev), kSilence);
+    return self->handlers_.on_connected();
+  }
+  if ((what & BEV_EVENT_EOF) != 0) return self->Fail("closed by peer");
+  if ((what & BEV_EVENT_TIMEOUT) != 0) return self->Fail("connect timed out");
+  self->Fail(std::strerror(errno));
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libsidecar/frame_stream.h
@@ -0,0 +1,55 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_FRAME_STREAM_H_
+#define CAMPHORHOIST_LIBSIDECAR_FRAME_STREAM_H_
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "camphorhoist/net_address.h"
+#include "libbase/event_ptr.h"
+#include "libsidecar/peer_messages.h"
+
+namespace camphorhoist {
+
+/// One connection between two sidecars that carries frames.
+///
+/// Thread safety: none; use on the thread of the event loop. Handlers run on that thread and may
+/// call `Send` and `Close`, but must not destroy the stream.
+class FrameStream {
+ public:
+  struct Handlers {
+    std::function<void()> on_connected;
+    std::function<void(PeerMessage)> on_message;
+    /// Last call. `reason` is text for the log.
+    std::function<void(const std::string& reason)> on_closed;
+  };
+  /// Unacknowledged data for longer means that the peer or the path is gone.
+  static constexpr std::chrono::milliseconds kSilence{1000};
+
+  /// Takes an accepted connection.
+  FrameStream(event_base* base, evutil_socket_t fd, Handlers handlers);
+  /// Connects to `address`; `on_connected` or `on_closed` follows within `timeout`.
+  FrameStream(event_base* base, const NetAddress& address, std::chrono::milliseconds timeout,
+              Handlers handlers);
+  FrameStream(const FrameStream&) = delete;
+  FrameStream& operator=(const FrameStream&) = delete;
+
+  /// Ignored once the stream is closed.
+  void Send(const PeerMessage& message);
+  /// Closes without a further call of a handler.
+  void Close();
+  bool open() const { return bufev_ != nullptr; }
+
+ private:
+  static void OnRead(bufferevent* bufev, void* arg);
+  static void OnEvent(bufferevent* bufev, short what,  // NOLINT(google-runtime-int): libevent
+                      void* arg);
+  void Fail(const std::string& reason);
+
+  Handlers handlers_;
+  BuffereventPtr bufev_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_FRAME_STREAM_H_
--- /dev/null
+++ b/src/libsidecar/local_upstream.cc
@@ -0,0 +1,273 @@
+#include "libsidecar/local_upstream.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "libbase/log.h"
+#include "platform/message_headers.h"
+
+namespace camphorhoist {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+LocalUpstream::LocalUpstream(event_base* base, const SidecarSettings& settings,
+                             std::function<void()> on_status)
+    : base_(base),
+      on_status_(std::move(on_status)),
+      registry_(settings.announce_interval),
+      queue_(kInitialSlots),
+      pool_(base, settings.upstream),
+      expiry_timer_(base, [this] { NotifyIfChanged(); }),
+      queue_timer_(base, [this] { Advance(); }) {}
+
+UpstreamRegistry::Change LocalUpstream::Apply(const UpstreamReport& report) {
+  const auto now = steady_clock::now();
+  const auto change = registry_.Apply(now, report);
+  if (change == UpstreamRegistry::Change::kIgnored) return change;
+  if (registry_.current()) queue_.set_slots(registry_.current()->slots);
+  if (change == UpstreamRegistry::Change::kArrived) pool_.CloseIdle();
+  if (change == UpstreamRegistry::Change::kLeaving) {
+    const std::vector<uint64_t> keys = queue_.WithdrawAll();
+    for (const uint64_t key : keys) Refuse(by_key_.at(key), ResultReason::kNoUpstream);
+  }
+  NotifyIfChanged();
+  const ProxyDuration left = duration_cast<ProxyDuration>(registry_.expiry() - now);
+  expiry_timer_.StartOnce(std::max(ProxyDuration(0), left) + milliseconds(1));
+  return change;
+}
+
+void LocalUpstream::NotifyIfChanged() {
+  const bool ready = !stopping_ && registry_.ready(steady_clock::now());
+  if (ready == was_ready_) return;
+  was_ready_ = ready;
+  LogEvent(LogLevel::kInfo, "upstream", ready ? "takes_calls" : "takes_no_calls")
+      .Add("instance", registry_.current() ? registry_.current()->instance : "")
+      .Add("stopping", stopping_);
+  on_status_();
+}
+
+UpstreamStatus LocalUpstream::status() const {
+  UpstreamStatus status;
+  const auto now = steady_clock::now();
+  if (registry_.current()) {
+    status.service = registry_.current()->service;
+    status.instance = registry_.current()->instance;
+  }
+  status.ready = !stopping_ && registry_.ready(now);
+  status.warm_up = registry_.warm_up_left(now);
+  status.load = queue_.load(now);
+  return status;
+}
+
+CallResult LocalUpstream::NewResult(const CallId& id, ResultKind kind, ResultReason reason) const {
+  CallResult result;
+  result.id = id;
+  result.kind = kind;
+  result.reason = reason;
+  return result;
+}
+
+void LocalUpstream::Offer(CallOffer offer, Source source, Reply reply) {
+  ForgetOld();
+  const auto now = steady_clock::now();
+  const CallId id = offer.id;
+  const auto known = entries_.find(id);
+  if (known != entries_.end()) {
+    Entry& entry = known->second;
+    entry.source = source;
+    if (entry.state == State::kDone) {
+      entry.result.load = queue_.load(now);
+      return reply(entry.result);
+    }
+    entry.reply = std::move(reply);
+    return;
+  }
+  Entry& entry = entries_[id];
+  entry.source = source;
+  entry.reply = std::move(reply);
+  entry.deadline = now + offer.time_left;
+  entry.key = next_key_++;
+  PendingCall call;
+  call.key = entry.key;
+  call.deadline = entry.deadline;
+  call.objective = now + offer.objective_left;
+  call.profile = offer.profile;
+  call.priority = offer.priority;
+  call.nested = offer.nested;
+  const ProxyDuration max_wait = offer.max_wait;
+  entry.offer = std::move(offer);
+  if (stopping_) return Refuse(id, ResultReason::kStopping);
+  if (!registry_.Accepts(now, entry.offer.service, entry.offer.instance)) {
+    return Refuse(id, ResultReason::kNoUpstream);
+  }
+  by_key_[entry.key] = id;
+  const ServerQueue::Admission admission = queue_.Offer(now, call, max_wait);
+  switch (admission.verdict) {
+    case ServerQueue::Verdict::kStart:
+      return Run(id, &entry);
+    case ServerQueue::Verdict::kQueued:
+      if (!queue_timer_.pending()) Advance();
+      return;
+    case ServerQueue::Verdict::kBusy:
+      return Refuse(id, ResultReason::kBusy);
+    case ServerQueue::Verdict::kHopeless:
+      return Refuse(id, ResultReason::kHopeless);
+  }
+}
+
+void LocalUpstream::Run(const CallId& id, Entry* entry) {
+  const auto now = steady_clock::now();
+  entry->state = State::kRunning;
+  entry->started = now;
+  const auto left = std::max(milliseconds(1), duration_cast<milliseconds>(entry->deadline - now));
+  UpstreamCall call;
+  call.request_id = entry->offer.request_id;
+  call.method = entry->offer.method;
+  call.target = entry->offer.target;
+  call.headers =
+      platform::EncodeUpstreamHeaders(std::move(entry->offer.headers), left,
+                                      registry_.current()->instance, entry->offer.origin_service);
+  call.body = std::move(entry->offer.body);
+  call.idempotent = entry->offer.idempotent;
+  entry->timer = std::make_unique<Timer>(base_, [this, id] { OnDeadline(id); });
+  entry->timer->StartOnce(left + kResponseSlack);
+  entry->handle = pool_.Start(
+      std::move(call), [this, id](UpstreamOutcome outcome) { OnOutcome(id, std::move(outcome)); });
+}
+
+void LocalUpstream::OnOutcome(const CallId& id, UpstreamOutcome outcome) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end() || it->second.state != State::kRunning) return;
+  Entry& entry = it->second;
+  CallResult result = NewResult(id, outcome.kind, outcome.reason);
+  result.reached_upstream = outcome.sent;
+  result.status = outcome.status;
+  result.headers = std::move(outcome.headers);
+  result.body = std::move(outcome.body);
+  std::optional<ProxyDuration> service_time;
+  if (outcome.kind == ResultKind::kResponse) {
+    service_time = duration_cast<ProxyDuration>(steady_clock::now() - entry.started);
+  }
+  queue_.OnFinish(entry.key, service_time);
+  if (outcome.reason == ResultReason::kUpstreamUnreachable) {
+    registry_.OnUnreachable();
+    NotifyIfChanged();
+  }
+  Finish(id, &entry, std::move(result));
+  Advance();
+}
+
+void LocalUpstream::OnDeadline(const CallId& id) {
+  Entry& entry = entries_.at(id);
+  if (entry.state != State::kRunning) return;
+  pool_.Cancel(entry.handle);
+  queue_.OnFinish(entry.key, std::nullopt);
+  CallResult result = NewResult(id, ResultKind::kUnknown, ResultReason::kTimeout);
+  result.reached_upstream = true;
+  Finish(id, &entry, std::move(result));
+  Advance();
+}
+
+void LocalUpstream::Refuse(const CallId& id, ResultReason reason) {
+  Finish(id, &entries_.at(id), NewResult(id, ResultKind::kNotRun, reason));
+}
+
+void LocalUpstream::Finish(const CallId& id, Entry* entry, CallResult result) {
+  const auto now = steady_clock::now();
+  by_key_.erase(entry->key);
+  entry->state = State::kDone;
+  entry->timer.reset();
+  entry->offer = CallOffer();
+  result.load = queue_.load(now);
+  const Reply reply = std::move(entry->reply);
+  entry->reply = nullptr;
+  if (reply) reply(result);
+  // A response of which the body is not retained cannot be given again.
+  if (retained_bytes_ + result.body.size() > kMaxRetainedBytes) {
+    result = NewResult(id, ResultKind::kUnknown, ResultReason::kConnectionLost);
+    result.reached_upstream = true;
+  }
+  retained_bytes_ += result.body.size();
+  entry->result = std::move(result);
+  ended_.emplace_back(now, id);
+}
+
+void LocalUpstream::ForgetOld() {
+  const auto start = steady_clock::now() - kResultRetention;
+  while (!ended_.empty() && ended_.front().first < start) {
+    const auto it = entries_.find(ended_.front().second);
+    if (it != entries_.end()) {
+      retained_bytes_ -= it->second.result.body.size();
+      entries_.erase(it);
+    }
+    ended_.pop_front();
+  }
+}
+
+void LocalUpstream::Advance() {
+  const auto now = steady_clock::now();
+  for (const ServerQueue::Step& step : queue_.Advance(now)) {
+    const CallId id = by_key_.at(step.key);
+    if (step.start) {
+      Run(id, &entries_.at(id));
+    } else {
+      Refuse(id, ResultReason::kHopeless);
+    }
+  }
+  const std::optional<ProxyTime> expiry = queue_.NextExpiry();
+  if (!expiry) return queue_timer_.Stop();
+  queue_timer_.StartOnce(std::max(ProxyDuration(0), duration_cast<ProxyDuration>(*expiry - now)));
+}
+
+void LocalUpstream::Cancel(const CallId& id) {
+  const auto it = entries_.find(id);
+  if (it == entries_.end()) {
+    Entry& entry = entries_[id];
+    return Finish(id, &entry, NewResult(id, ResultKind::kNotRun, ResultReason::kCancelled));
+  }
+  Entry& entry = it->second;
+  entry.reply = nullptr;
+  if (entry.state == State::kWaiting) {
+    queue_.Withdraw(entry.key);
+    Finish(id, &entry, NewResult(id, ResultKind::kNotRun, ResultReason::kCancelled));
+  } else if (entry.state == State::kRunning && entry.offer.idempotent) {
+    pool_.Cancel(entry.handle);
+    queue_.OnFinish(entry.key, std::nullopt);
+    CallResult result = NewResult(id, ResultKind::kUnknown, ResultReason::kCancelled);
+    result.reached_upstream = true;
+    Finish(id, &entry, std::move(result));
+    Advance();
+  }
+}
+
+void LocalUpstream::OnSourceClosed(Source source) {
+  std::vector<CallId> waiting;
+  std::vector<CallId> running;
+  for (auto& [id, entry] : entries_) {
+    if (entry.source != source || entry.state == State::kDone) continue;
+    entry.reply = nullptr;
+    if (entry.state == State::kWaiting) waiting.push_back(id);
+    if (entry.state == State::kRunning && entry.offer.idempotent) running.push_back(id);
+  }
+  for (const CallId& id : waiting) Cancel(id);
+  if (running.empty()) return;
+  // One-shot timer that owns itself until it has fired.
+  auto timer = std::make_shared<std::unique_ptr<Timer>>();
+  *timer = std::make_unique<Timer>(base_, [this, running, source, timer] {
+    for (const CallId& id : running) {
+      const auto it = entries_.find(id);
+      if (it != entries_.end() && it->second.source == source) Cancel(id);
+    }
+    timer->reset();
+  });
+  (*timer)->StartOnce(kOrphanGrace);
+}
+
+void LocalUpstream::Stop() {
+  stopping_ = true;
+  NotifyIfChanged();
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libsidecar/local_upstream.h
@@ -0,0 +1,110 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_LOCAL_UPSTREAM_H_
+#define CAMPHORHOIST_LIBSIDECAR_LOCAL_UPSTREAM_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "camphorhoist/server_queue.h"
+#include "camphorhoist/sidecar_settings.h"
+#include "camphorhoist/upstream_registry.h"
+#include "libsidecar/peer_messages.h"
+#include "libsidecar/upstream_pool.h"
+
+namespace camphorhoist {
+
+/// The upstream on this VM: the only sender to it. Runs each offered call at most once, and keeps
+/// results for senders whose connection broke.
+///
+/// Thread safety: none; use on the thread of the event loop. Callbacks run on that thread, never
+/// from inside `Offer` of the same call.
+class LocalUpstream {
+ public:
+  using Reply = std::function<void(const CallResult&)>;
+  /// Identifies the connection that a call came by; 0 for calls of this process.
+  using Source = uint64_t;
+
+  /// How long the id and the result of an ended call are kept.
+  static constexpr std::chrono::milliseconds kResultRetention{10000};
+  /// Time for a sender to reconnect before its running idempotent calls are cancelled.
+  static constexpr std::chrono::milliseconds kOrphanGrace{1000};
+  /// Bytes of retained bodies.
+  static constexpr size_t kMaxRetainedBytes = 4 << 20;
+  /// Time that the upstream has beyond the deadline, since it answers at the deadline itself.
+  static constexpr std::chrono::milliseconds kResponseSlack{150};
+  /// Slots assumed until the upstream has told its own.
+  static constexpr uint32_t kInitialSlots = 1;
+
+  /// `on_status` is called when the upstream starts or stops taking calls.
+  LocalUpstream(event_base* base, const SidecarSettings& settings, std::function<void()> on_status);
+
+  /// Takes a report of the upstream. Returns what it changed.
+  UpstreamRegistry::Change Apply(const UpstreamReport& report);
+  void Restore(const UpstreamDeparture& departure) { registry_.Restore(departure); }
+  const UpstreamRegistry& registry() const { return registry_; }
+
+  /// Offers a call. `reply` is called once, unless the source is closed first.
+  void Offer(CallOffer offer, Source source, Reply reply);
+  /// The sender does not need the result any more. An unknown id is remembered, so that a late
+  /// offer with it is not run.
+  void Cancel(const CallId& id);
+  /// The connection of these senders is lost: withdraws their waiting calls, and cancels running
+  /// idempotent ones unless they are offered again within `kOrphanGrace`.
+  void OnSourceClosed(Source source);
+  /// Refuses everything new from now on; what was accepted still runs.
+  void Stop();
+
+  UpstreamStatus status() const;
+  ServerLoad load() const { return queue_.load(std::chrono::steady_clock::now()); }
+  /// Calls that wait or run.
+  size_t active() const { return queue_.running() + queue_.queued(); }
+  uint64_t connections_opened() const { return pool_.connections_opened(); }
+
+ private:
+  enum class State : uint8_t { kWaiting, kRunning, kDone };
+  struct Entry {
+    State state = State::kWaiting;
+    CallOffer offer;
+    ProxyTime deadline{};
+    ProxyTime started{};
+    Source source = 0;
+    Reply reply;
+    uint64_t key = 0;
+    UpstreamPool::Handle handle = 0;
+    std::unique_ptr<Timer> timer;
+    CallResult result;
+  };
+
+  void Run(const CallId& id, Entry* entry);
+  void OnOutcome(const CallId& id, UpstreamOutcome outcome);
+  void OnDeadline(const CallId& id);
+  void Finish(const CallId& id, Entry* entry, CallResult result);
+  void Refuse(const CallId& id, ResultReason reason);
+  void Advance();
+  void ForgetOld();
+  CallResult NewResult(const CallId& id, ResultKind kind, ResultReason reason) const;
+  void NotifyIfChanged();
+
+  event_base* base_;
+  std::function<void()> on_status_;
+  UpstreamRegistry registry_;
+  ServerQueue queue_;
+  UpstreamPool pool_;
+  Timer expiry_timer_;
+  Timer queue_timer_;
+  bool stopping_ = false;
+  bool was_ready_ = false;
+  uint64_t next_key_ = 1;
+  size_t retained_bytes_ = 0;
+  std::unordered_map<CallId, Entry> entries_;
+  std::unordered_map<uint64_t, CallId> by_key_;
+  std::deque<std::pair<ProxyTime, CallId>> ended_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_LOCAL_UPSTREAM_H_
--- /dev/null
+++ b/src/libsidecar/peer.capnp
@@ -0,0 +1,91 @@
+@0xd1b7c93ae5604f28;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("camphorhoist::peer");
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct CallId {
+  origin @0 :UInt64;
+  counter @1 :UInt64;
+}
+
+struct Load {
+  running @0 :UInt16;
+  queued @1 :UInt16;
+  limit @2 :UInt16;
+  serviceMicros @3 :UInt32;
+  waitMicros @4 :UInt32;
+}
+
+# Upstream beside a sidecar.
+struct Upstream {
+  # Empty if none is known.
+  service @0 :Text;
+  instance @1 :Text;
+  # Takes new calls.
+  ready @2 :Bool;
+  warmUpMicros @3 :UInt32;
+  load @4 :Load;
+}
+
+# First frame in both directions.
+struct Hello {
+  node @0 :Text;
+  # Process run.
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  # Where the sender accepts connections of other sidecars.
+  address @3 :Text;
+  configVersion @4 :UInt64;
+  upstream @5 :Upstream;
+}
+
+struct Offer {
+  id @0 :CallId;
+  service @1 :Text;
+  instance @2 :Text;
+  requestId @3 :Text;
+  method @4 :Text;
+  target @5 :Text;
+  headers @6 :List(Header);
+  body @7 :Data;
+  # Service on the VM where the request began.
+  originService @8 :Text;
+  timeLeftMicros @9 :UInt32;
+  # Below 0 once the objective is missed.
+  objectiveLeftMicros @10 :Int32;
+  profile @11 :UInt64;
+  priority @12 :Int32;
+  nested @13 :Bool;
+  idempotent @14 :Bool;
+  # Longest predicted wait that the sender accepts.
+  maxWaitMicros @15 :UInt32;
+}
+
+struct Result {
+  id @0 :CallId;
+  kind @1 :UInt8;
+  reason @2 :UInt8;
+  reachedUpstream @3 :Bool;
+  status @4 :UInt16;
+  headers @5 :List(Header);
+  body @6 :Data;
+  load @7 :Load;
+  configVersion @8 :UInt64;
+}
+
+struct Frame {
+  union {
+    hello @0 :Hello;
+    offer @1 :Offer;
+    result @2 :Result;
+    cancel @3 :CallId;
+    upstream @4 :Upstream;
+    ping @5 :UInt64;
+    pong @6 :UInt64;
+  }
+}
--- /dev/null
+++ b/src/libsidecar/peer_directory.cc
@@ -0,0 +1,127 @@
+#include "libsidecar/peer_directory.h"
+
+#include <utility>
+
+#include "libbase/log.h"
+
+namespace camphorhoist {
+
+using std::chrono::steady_clock;
+
+PeerDirectory::PeerDirectory(event_base* base, Handlers handlers)
+    : base_(base), handlers_(std::move(handlers)), cleanup_(base, [this] { removed_.clear(); }) {}
+
+void PeerDirectory::AddSelf(const std::string& node, const std::string& data_centre) {
+  auto peer = std::make_unique<Peer>();
+  peer->node = node;
+  peer->data_centre = data_centre;
+  self_ = peer.get();
+  peers_[node] = std::move(peer);
+}
+
+Peer* PeerDirectory::Find(const std::string& node) {
+  const auto it = peers_.find(node);
+  return it == peers_.end() ? nullptr : it->second.get();
+}
+
+void PeerDirectory::Learn(const std::string& node, const NetAddress& address,
+                          const std::string& data_centre, bool listed) {
+  Peer* known = Find(node);
+  if (known != nullptr && known->local()) return;
+  if (known != nullptr && known->address != address) {
+    // A statement of the store goes before what a peer said of itself earlier.
+    if (!listed && known->listed && known->up()) return;
+    Remove(node);
+    known = nullptr;
+  }
+  if (known != nullptr) {
+    known->listed = known->listed || listed;
+    return;
+  }
+  auto peer = std::make_unique<Peer>();
+  peer->node = node;
+  peer->data_centre = data_centre;
+  peer->address = address;
+  peer->listed = listed;
+  Peer* raw = peer.get();
+  peers_[node] = std::move(peer);
+  LogEvent(LogLevel::kInfo, "peers", "learned")
+      .Add("node", node)
+      .Add("address", address.ToString())
+      .Add("listed", listed);
+  raw->link = NewLink(raw, address, false);
+  raw->bulk_link = NewLink(raw, address, true);
+}
+
+void PeerDirectory::Unlist(const std::string& node) {
+  Peer* peer = Find(node);
+  if (peer == nullptr || peer->local()) return;
+  peer->listed = false;
+  if (!peer->up()) Remove(node);
+}
+
+void PeerDirectory::Remove(const std::string& node) {
+  const auto it = peers_.find(node);
+  LogEvent(LogLevel::kInfo, "peers", "removed").Add("node", node);
+  std::unique_ptr<Peer> peer = std::move(it->second);
+  peers_.erase(it);
+  handlers_.on_down(peer.get(), true);
+  removed_.push_back(std::move(peer));
+  cleanup_.StartOnce(std::chrono::microseconds(0));
+}
+
+std::unique_ptr<PeerLink> PeerDirectory::NewLink(Peer* peer, const NetAddress& address, bool bulk) {
+  PeerLink::Handlers handlers;
+  handlers.hello = handlers_.hello;
+  handlers.on_message = [this, peer](PeerMessage message) {
+    handlers_.on_message(peer, std::move(message));
+  };
+  if (bulk) {
+    handlers.on_up = [](const PeerHello&) {};
+    handlers.on_down = [this, peer](bool, const std::string&) { handlers_.on_down(peer, false); };
+  } else {
+    handlers.on_up = [this, peer](const PeerHello& hello) { OnUp(peer, hello); };
+    handlers.on_down = [this, peer](bool refused, const std::string& reason) {
+      OnDown(peer, refused, reason);
+    };
+  }
+  return std::make_unique<PeerLink>(base_, address, std::move(handlers));
+}
+
+void PeerDirectory::OnUp(Peer* peer, const PeerHello& hello) {
+  if (hello.node != peer->node) {
+    // The address belongs to another VM now.
+    LogEvent(LogLevel::kWarn, "peers", "wrong_node")
+        .Add("expected", peer->node)
+        .Add("found", hello.node);
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "peers", "up")
+      .Add("node", peer->node)
+      .Add("incarnation", hello.incarnation)
+      .Add("upstream", hello.upstream.instance);
+  peer->data_centre = hello.data_centre;
+  peer->incarnation = hello.incarnation;
+  peer->status = hello.upstream;
+  UpdateLoad(peer, hello.upstream.load);
+  peer->bulk_link->RetryNow();
+  handlers_.on_up(peer);
+}
+
+void PeerDirectory::OnDown(Peer* peer, bool gone, const std::string& reason) {
+  const bool was_up = peer->status.ready;
+  peer->status.ready = false;
+  if (was_up) {
+    LogEvent(LogLevel::kWarn, "peers", "down").Add("node", peer->node).Add("reason", reason);
+  }
+  handlers_.on_down(peer, gone);
+  if (!peer->listed && gone) Remove(peer->node);
+}
+
+void PeerDirectory::UpdateLoad(Peer* peer, const ServerLoad& load) {
+  peer->status.load = load;
+  peer->load_time = steady_clock::now();
+  peer->offered_since = 0;
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libsidecar/peer_link.h
@@ -0,0 +1,73 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_PEER_LINK_H_
+#define CAMPHORHOIST_LIBSIDECAR_PEER_LINK_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "camphorhoist/net_address.h"
+#include "libsidecar/frame_stream.h"
+
+namespace camphorhoist {
+
+/// Outgoing connection to another sidecar, opened again whenever it is lost.
+///
+/// Thread safety: none; use on the thread of the event loop. Handlers run on that thread; they must
+/// not destroy the link.
+class PeerLink {
+ public:
+  struct Handlers {
+    /// The hello to send when the connection opens.
+    std::function<PeerHello()> hello;
+    /// The peer's hello has arrived.
+    std::function<void(const PeerHello&)> on_up;
+    std::function<void(PeerMessage)> on_message;
+    /// `refused`: the VM answers and no process listens there.
+    std::function<void(bool refused, const std::string& reason)> on_down;
+  };
+
+  static constexpr std::chrono::milliseconds kConnectTimeout{500};
+  /// Delay before a connection is opened again; doubles up to the maximum.
+  static constexpr std::chrono::milliseconds kMinRetry{50};
+  static constexpr std::chrono::milliseconds kMaxRetry{1000};
+  /// While calls are outstanding, a peer is asked for a sign of life after this time without one.
+  static constexpr std::chrono::milliseconds kPingInterval{200};
+  /// A peer that gives no sign for this long is taken to be unreachable by this connection.
+  static constexpr std::chrono::milliseconds kSilenceLimit{700};
+
+  PeerLink(event_base* base, NetAddress address, Handlers handlers);
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  void Send(const PeerMessage& message);
+  bool up() const { return up_; }
+  const NetAddress& address() const { return address_; }
+  /// Number of outstanding calls; the peer is watched while it is above 0.
+  void AddOutstanding(int change);
+  /// Connects at once if the link waits to try again.
+  void RetryNow();
+
+ private:
+  void Connect();
+  void OnMessage(PeerMessage message);
+  void OnClosed(const std::string& reason);
+  void CheckSilence();
+
+  event_base* base_;
+  NetAddress address_;
+  Handlers handlers_;
+  std::unique_ptr<FrameStream> stream_;
+  Timer retry_timer_;
+  Timer ping_timer_;
+  std::chrono::milliseconds retry_ = kMinRetry;
+  bool connected_ = false;
+  bool up_ = false;
+  int outstanding_ = 0;
+  std::chrono::steady_clock::time_point last_received_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_PEER_LINK_H_
--- /dev/null
+++ b/src/libsidecar/peer_listener.h
@@ -0,0 +1,67 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_PEER_LISTENER_H_
+#define CAMPHORHOIST_LIBSIDECAR_PEER_LISTENER_H_
+
+#include <event2/listener.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "camphorhoist/net_address.h"
+#include "libsidecar/frame_stream.h"
+#include "libsidecar/local_upstream.h"
+
+namespace camphorhoist {
+
+struct ListenerDeleter {
+  void operator()(evconnlistener* p) const { evconnlistener_free(p); }
+};
+using ListenerPtr = std::unique_ptr<evconnlistener, ListenerDeleter>;
+
+/// Opens a listening socket. Returns nullptr and sets `*ec` on failure.
+ListenerPtr Listen(event_base* base, const NetAddress& address, evconnlistener_cb on_accept,
+                   void* arg, std::error_code* ec);
+
+/// Accepts connections of other sidecars and runs the calls that they offer on the own upstream.
+///
+/// Thread safety: none; use on the thread of the event loop.
+class PeerListener {
+ public:
+  struct Handlers {
+    /// The hello to answer with.
+    std::function<PeerHello()> hello;
+    std::function<void(const PeerHello&)> on_hello;
+    std::function<uint64_t()> config_version;
+  };
+
+  /// Precondition: `upstream` outlives the listener.
+  PeerListener(event_base* base, LocalUpstream* upstream, Handlers handlers);
+
+  bool Start(const NetAddress& address, std::error_code* ec);
+  /// Tells all connected sidecars of a change of the upstream.
+  void Announce(const UpstreamStatus& status);
+
+ private:
+  static void OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg);
+  void Add(evutil_socket_t fd);
+  void OnMessage(uint64_t source, PeerMessage message);
+  void OnClosed(uint64_t source);
+  void Reply(uint64_t source, const CallResult& result);
+
+  event_base* base_;
+  LocalUpstream* upstream_;
+  Handlers handlers_;
+  ListenerPtr listener_;
+  uint64_t next_source_ = 1;
+  std::map<uint64_t, std::unique_ptr<FrameStream>> streams_;
+  /// Streams that were closed from inside their own handler.
+  std::vector<std::unique_ptr<FrameStream>> closed_;
+  Timer cleanup_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_PEER_LISTENER_H_
--- /dev/null
+++ b/src/libsidecar/peer_messages.cc
@@ -0,0 +1,289 @@
+#include "libsidecar/peer_messages.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <utility>
+
+#include "libsidecar/peer.capnp.h"
+
+namespace camphorhoist {
+
+namespace {
+
+// Most messages fit into one segment of this size on the stack.
+constexpr size_t kScratchWords = 512;
+constexpr size_t kSizeBytes = 4;
+
+uint32_t ClampMicros(ProxyDuration duration) {
+  return static_cast<uint32_t>(std::clamp<int64_t>(duration.count(), 0, UINT32_MAX));
+}
+int32_t ClampSignedMicros(ProxyDuration duration) {
+  return static_cast<int32_t>(std::clamp<int64_t>(duration.count(), INT32_MIN, INT32_MAX));
+}
+uint16_t ClampCount(uint32_t count) {
+  return static_cast<uint16_t>(std::min<uint32_t>(count, UINT16_MAX));
+}
+
+capnp::Data::Reader ToData(const std::string& text) {
+  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
+}
+std::string FromData(capnp::Data::Reader data) {
+  return {reinterpret_cast<const char*>(data.begin()), data.size()};
+}
+std::string FromText(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
+
+void Write(const CallId& id, peer::CallId::Builder out) {
+  out.setOrigin(id.origin());
+  out.setCounter(id.counter());
+}
+CallId Read(peer::CallId::Reader in) { return {in.getOrigin(), in.getCounter()}; }
+
+template <typename Builder>
+void WriteHeaders(const HttpHeaders& headers, Builder* out) {
+  auto list = out->initHeaders(static_cast<unsigned>(headers.size()));
+  for (unsigned i = 0; i < headers.size(); ++i) {
+    list[i].setName(headers[i].first);
+    list[i].setValue(headers[i].second);
+  }
+}
+HttpHeaders Read(capnp::List<peer::Header>::Reader in) {
+  HttpHeaders headers;
+  headers.reserve(in.size());
+  for (const auto& it : in) headers.emplace_back(FromText(it.getName()), FromText(it.getValue()));
+  return headers;
+}
+
+void Write(const ServerLoad& load, peer::Load::Builder out) {
+  out.setRunning(ClampCount(load.running));
+  out.setQueued(ClampCount(load.queued));
+  out.setLimit(ClampCount(load.limit));
+  out.setServiceMicros(ClampMicros(load.service_time));
+  out.setWaitMicros(ClampMicros(load.expected_wait));
+}
+ServerLoad Read(peer::Load::Reader in) {
+  ServerLoad load;
+  load.running = in.getRunning();
+  load.queued = in.getQueued();
+  load.limit = in.getLimit();
+  load.service_time = ProxyDuration(in.getServiceMicros());
+  load.expected_wait = ProxyDuration(in.getWaitMicros());
+  return load;
+}
+
+void Write(const UpstreamStatus& status, peer::Upstream::Builder out) {
+  out.setService(status.service);
+  out.setInstance(status.instance);
+  out.setReady(status.ready);
+  out.setWarmUpMicros(ClampMicros(status.warm_up));
+  Write(status.load, out.initLoad());
+}
+UpstreamStatus Read(peer::Upstream::Reader in) {
+  UpstreamStatus status;
+  status.service = FromText(in.getService());
+  status.instance = FromText(in.getInstance());
+  status.ready = in.getReady();
+  status.warm_up = ProxyDuration(in.getWarmUpMicros());
+  status.load = Read(in.getLoad());
+  return status;
+}
+
+void Write(const PeerHello& hello, peer::Frame::Builder frame) {
+  auto out = frame.initHello();
+  out.setNode(hello.node);
+  out.setIncarnation(hello.incarnation);
+  out.setDataCentre(hello.data_centre);
+  out.setAddress(hello.address);
+  out.setConfigVersion(hello.config_version);
+  Write(hello.upstream, out.initUpstream());
+}
+PeerHello Read(peer::Hello::Reader in) {
+  PeerHello hello;
+  hello.node = FromText(in.getNode());
+  hello.incarnation = in.getIncarnation();
+  hello.data_centre = FromText(in.getDataCentre());
+  hello.address = FromText(in.getAddress());
+  hello.config_version = in.getConfigVersion();
+  hello.upstream = Read(in.getUpstream());
+  return hello;
+}
+
+void Write(const CallOffer& offer, peer::Frame::Builder frame) {
+  auto out = frame.initOffer();
+  Write(offer.id, out.initId());
+  out.setService(offer.service);
+  out.setInstance(offer.instance);
+  out.setRequestId(offer.request_id);
+  out.setMethod(offer.method);
+  out.setTarget(offer.target);
+  WriteHeaders(offer.headers, &out);
+  out.setBody(ToData(offer.body));
+  out.setOriginService(offer.origin_service);
+  out.setTimeLeftMicros(ClampMicros(offer.time_left));
+  out.setObjectiveLeftMicros(ClampSignedMicros(offer.objective_left));
+  out.setProfile(offer.profile);
+  out.setPriority(offer.priority);
+  out.setNested(offer.nested);
+  out.setIdempotent(offer.idempotent);
+  out.setMaxWaitMicros(ClampMicros(offer.max_wait));
+}
+CallOffer Read(peer::Offer::Reader in) {
+  CallOffer offer;
+  offer.id = Read(in.getId());
+  offer.service = FromText(in.getService());
+  offer.instance = FromText(in.getInstance());
+  offer.request_id = FromText(in.getRequestId());
+  offer.method = FromText(in.getMethod());
+  offer.target = FromText(in.getTarget());
+  offer.headers = Read(in.getHeaders());
+  offer.body = FromData(in.getBody());
+  offer.origin_service = FromText(in.getOriginService());
+  offer.time_left = ProxyDuration(in.getTimeLeftMicros());
+  offer.objective_left = ProxyDuration(in.getObjectiveLeftMicros());
+  offer.profile = in.getProfile();
+  offer.priority = in.getPriority();
+  offer.nested = in.getNested();
+  offer.idempotent = in.getIdempotent();
+  offer.max_wait = ProxyDuration(in.getMaxWaitMicros());
+  return offer;
+}
+
+void Write(const CallResult& result, peer::Frame::Builder frame) {
+  auto out = frame.initResult();
+  Write(result.id, out.initId());
+  out.setKind(static_cast<uint8_t>(result.kind));
+  out.setReason(static_cast<uint8_t>(result.reason));
+  out.setReachedUpstream(result.reached_upstream);
+  out.setStatus(static_cast<uint16_t>(result.status));
+  WriteHeaders(result.headers, &out);
+  out.setBody(ToData(result.body));
+  Write(result.load, out.initLoad());
+  out.setConfigVersion(result.config_version);
+}
+CallResult Read(peer::Result::Reader in) {
+  CallResult result;
+  result.id = Read(in.getId());
+  // Values of a newer peer count as unknown.
+  result.kind = in.getKind() <= static_cast<uint8_t>(ResultKind::kUnknown)
+                    ? static_cast<ResultKind>(in.getKind())
+                    : ResultKind::kUnknown;
+  result.reason = in.getReason() <= static_cast<uint8_t>(ResultReason::kStopping)
+                      ? static_cast<ResultReason>(in.getReason())
+                      : ResultReason::kNone;
+  result.reached_upstream = in.getReachedUpstream();
+  result.status = in.getStatus();
+  result.headers = Read(in.getHeaders());
+  result.body = FromData(in.getBody());
+  result.load = Read(in.getLoad());
+  result.config_version = in.getConfigVersion();
+  return result;
+}
+
+void Write(const CallCancel& cancel, peer::Frame::Builder frame) {
+  Write(cancel.id, frame.initCancel());
+}
+void Write(const UpstreamStatus& status, peer::Frame::Builder frame) {
+  Write(status, frame.initUpstream());
+}
+void Write(const PeerPing& ping, peer::Frame::Builder frame) { frame.setPing(ping.number); }
+void Write(const PeerPong& pong, peer::Frame::Builder frame) { frame.setPong(pong.number); }
+
+bool ReadMessage(peer::Frame::Reader frame, PeerMessage* message) {
+  switch (frame.which()) {
+    case peer::Frame::HELLO:
+      *message = Read(frame.getHello());
+      return true;
+    case peer::Frame::OFFER:
+      *message = Read(frame.getOffer());
+      return true;
+    case peer::Frame::RESULT:
+      *message = Read(frame.getResult());
+      return true;
+    case peer::Frame::CANCEL:
+      *message = CallCancel{Read(frame.getCancel())};
+      return true;
+    case peer::Frame::UPSTREAM:
+      *message = Read(frame.getUpstream());
+      return true;
+    case peer::Frame::PING:
+      *message = PeerPing{frame.getPing()};
+      return true;
+    case peer::Frame::PONG:
+      *message = PeerPong{frame.getPong()};
+      return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+const char* ToString(ResultReason reason) {
+  switch (reason) {
+    case ResultReason::kNone:
+      return "none";
+    case ResultReason::kBusy:
+      return "busy";
+    case ResultReason::kHopeless:
+      return "hopeless";
+    case ResultReason::kNoUpstream:
+      return "no_upstream";
+    case ResultReason::kUpstreamRefused:
+      return "upstream_refused";
+    case ResultReason::kUpstreamUnreachable:
+      return "upstream_unreachable";
+    case ResultReason::kConnectionLost:
+      return "connection_lost";
+    case ResultReason::kBrokenResponse:
+      return "broken_response";
+    case ResultReason::kTimeout:
+      return "timeout";
+    case ResultReason::kCancelled:
+      return "cancelled";
+    case ResultReason::kStopping:
+      return "stopping";
+  }
+  return "none";
+}
+
+void AppendFrame(const PeerMessage& message, evbuffer* output) {
+  capnp::word scratch[kScratchWords];
+  std::memset(scratch, 0, sizeof(scratch));
+  capnp::MallocMessageBuilder builder(kj::arrayPtr(scratch, kScratchWords));
+  const auto frame = builder.initRoot<peer::Frame>();
+  std::visit([&frame](const auto& it) { Write(it, frame); }, message);
+  const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
+  const kj::ArrayPtr<const kj::byte> bytes = words.asBytes();
+  const auto size = static_cast<uint32_t>(bytes.size());
+  const std::array<unsigned char, kSizeBytes> head = {
+      static_cast<unsigned char>(size), static_cast<unsigned char>(size >> 8),
+      static_cast<unsigned char>(size >> 16), static_cast<unsigned char>(size >> 24)};
+  evbuffer_add(output, head.data(), head.size());
+  evbuffer_add(output, bytes.begin(), bytes.size());
+}
+
+FrameStatus TakeFrame(evbuffer* input, PeerMessage* message) {
+  std::array<unsigned char, kSizeBytes> head{};
+  if (evbuffer_copyout(input, head.data(), head.size()) < static_cast<ev_ssize_t>(head.size())) {
+    return FrameStatus::kNeedMore;
+  }
+  const size_t size = head[0] | head[1] << 8 | head[2] << 16 | static_cast<size_t>(head[3]) << 24;
+  if (size > kMaxFrameBytes || size % sizeof(capnp::word) != 0) return FrameStatus::kBroken;
+  if (evbuffer_get_length(input) < head.size() + size) return FrameStatus::kNeedMore;
+  evbuffer_drain(input, head.size());
+  kj::Array<capnp::word> words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
+  evbuffer_remove(input, words.begin(), size);
+  bool read = false;
+  const kj::Maybe<kj::Exception> fault = kj::runCatchingExceptions([&] {
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxFrameBytes;
+    capnp::FlatArrayMessageReader reader(words, options);
+    read = ReadMessage(reader.getRoot<peer::Frame>(), message);
+  });
+  return read && fault == nullptr ? FrameStatus::kMessage : FrameStatus::kBroken;
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libsidecar/peer_messages.h
@@ -0,0 +1,132 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_PEER_MESSAGES_H_
+#define CAMPHORHOIST_LIBSIDECAR_PEER_MESSAGES_H_
+
+#include <event2/buffer.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "camphorhoist/call_id.h"
+#include "camphorhoist/server_queue.h"
+#include "libbase/http_client.h"
+
+namespace camphorhoist {
+
+/// What a sidecar tells others of the upstream beside it.
+struct UpstreamStatus {
+  /// Empty if no upstream is known.
+  std::string service;
+  std::string instance;
+  /// Takes new calls.
+  bool ready = false;
+  ProxyDuration warm_up{};
+  ServerLoad load;
+};
+
+/// First message in both directions of a connection between sidecars.
+struct PeerHello {
+  std::string node;
+  /// Process run of the sender.
+  uint64_t incarnation = 0;
+  std::string data_centre;
+  /// Where the sender accepts connections of other sidecars.
+  std::string address;
+  uint64_t config_version = 0;
+  UpstreamStatus upstream;
+};
+
+/// A call that is offered to the sidecar beside an upstream. Offering the same id again asks for
+/// the result of the first offer; it never causes a second run.
+struct CallOffer {
+  CallId id;
+  std::string service;
+  std::string instance;
+  std::string request_id;
+  std::string method;
+  std::string target;
+  HttpHeaders headers;
+  std::string body;
+  /// Service on the VM where the request began.
+  std::string origin_service;
+  ProxyDuration time_left{};
+  /// Below 0 once the objective is missed.
+  ProxyDuration objective_left{};
+  /// Calls with the same profile are expected to take equally long.
+  uint64_t profile = 0;
+  int priority = 0;
+  bool nested = false;
+  bool idempotent = false;
+  /// Longest predicted wait that the sender accepts.
+  ProxyDuration max_wait{};
+};
+
+enum class ResultKind : uint8_t {
+  /// The upstream's whole response.
+  kResponse,
+  /// The upstream has not run the request and never will.
+  kNotRun,
+  /// The request may have run, and there is no whole response.
+  kUnknown,
+};
+
+/// Why a call has no response. The names are stable, for logs.
+enum class ResultReason : uint8_t {
+  kNone,
+  /// The predicted wait is longer than the sender accepts.
+  kBusy,
+  /// No response could come in time.
+  kHopeless,
+  /// No upstream of this service and instance takes calls here.
+  kNoUpstream,
+  kUpstreamRefused,
+  kUpstreamUnreachable,
+  kConnectionLost,
+  kBrokenResponse,
+  kTimeout,
+  kCancelled,
+  kStopping,
+};
+const char* ToString(ResultReason reason);
+
+struct CallResult {
+  CallId id;
+  ResultKind kind = ResultKind::kUnknown;
+  ResultReason reason = ResultReason::kNone;
+  /// The request was sent to the upstream.
+  bool reached_upstream = false;
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  ServerLoad load;
+  /// Version in force at the sidecar beside the upstream.
+  uint64_t config_version = 0;
+};
+
+struct CallCancel {
+  CallId id;
+};
+struct PeerPing {
+  uint64_t number = 0;
+};
+struct PeerPong {
+  uint64_t number = 0;
+};
+
+using PeerMessage =
+    std::variant<PeerHello, CallOffer, CallResult, CallCancel, UpstreamStatus, PeerPing, PeerPong>;
+
+/// Longest frame; bounds what a faulty peer can make this process hold.
+inline constexpr size_t kMaxFrameBytes = 96 << 20;
+
+/// Appends `message` as one frame: its size as 32 bits little-endian, and a Cap'n Proto message.
+void AppendFrame(const PeerMessage& message, evbuffer* output);
+
+enum class FrameStatus : uint8_t { kMessage, kNeedMore, kBroken };
+/// Takes the next frame from `input`. `*message` is set with `kMessage` only.
+FrameStatus TakeFrame(evbuffer* input, PeerMessage* message);
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_PEER_MESSAGES_H_
--- /dev/null
+++ b/src/libsidecar/sidecar.cc
@@ -0,0 +1,230 @@
+#include "libsidecar/sidecar.h"
+
+#include <utility>
+
+#include "libbase/log.h"
+#include "platform/announcements.h"
+
+namespace camphorhoist {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kServiceUnavailable = 503;
+
+const char* ToString(UpstreamRegistry::Change change) {
+  switch (change) {
+    case UpstreamRegistry::Change::kIgnored:
+      return "ignored";
+    case UpstreamRegistry::Change::kRefreshed:
+      return "refreshed";
+    case UpstreamRegistry::Change::kArrived:
+      return "arrived";
+    case UpstreamRegistry::Change::kLeaving:
+      return "leaving";
+  }
+  return "ignored";
+}
+
+}  // namespace
+
+Sidecar::Sidecar(event_base* base, const SidecarSettings& settings, uint64_t incarnation)
+    : base_(base),
+      settings_(settings),
+      incarnation_(incarnation),
+      local_(base, settings_, [this] { OnUpstreamStatus(); }),
+      directory_(base, {[this] { return NewHello(); },
+                        [this](Peer* peer, PeerMessage message) {
+                          OnPeerMessage(peer, std::move(message));
+                        },
+                        [this](Peer* peer) { dispatcher_.OnPeerUp(peer); },
+                        [this](Peer* peer, bool gone) { dispatcher_.OnPeerDown(peer, gone); }}),
+      dispatcher_(base, &settings_, incarnation, &directory_, &local_, &metrics_),
+      peer_listener_(
+          base, &local_,
+          {[this] { return NewHello(); }, [this](const PeerHello& hello) { OnPeerHello(hello); },
+           [this] { return NewHello().config_version; }}),
+      caller_listener_(base, settings_.ip, &dispatcher_, &metrics_),
+      ready_server_(base, [this](const ControlRequest& request) { return HandleReady(request); }),
+      announce_server_(
+          base, [this](const ControlRequest& request) { return HandleAnnouncement(request); }),
+      metrics_server_(base,
+                      [this](const ControlRequest& request) { return HandleMetrics(request); }),
+      store_(base, settings_,
+             {[this](std::shared_ptr<const MeshConfig> config) {
+                dispatcher_.SetConfig(std::move(config));
+              },
+              [this](const SidecarEntry& entry) {
+                directory_.Learn(entry.node, *NetAddress::Parse(entry.address), entry.data_centre,
+                                 true);
+              },
+              [this](const std::string& node) { directory_.Unlist(node); },
+              [this](const SidecarEntry& entry) {
+                for (const UpstreamDeparture& it : entry.departures) local_.Restore(it);
+                const auto& departures = local_.registry().departures();
+                store_.SetDepartures({departures.begin(), departures.end()});
+              }}),
+      stop_timer_(base, [this] { ContinueStop(); }) {
+  directory_.AddSelf(settings_.node, settings_.data_centre);
+}
+
+bool Sidecar::Start(Findings* findings) {
+  std::error_code ec;
+  const auto check = [findings](bool opened, const char* place, const NetAddress& address) {
+    if (!opened) findings->Add(place, "cannot listen on " + address.ToString());
+  };
+  check(peer_listener_.Start(settings_.peer_listen, &ec), "peers", settings_.peer_listen);
+  check(caller_listener_.Start(settings_.caller_listen, &ec), "callers", settings_.caller_listen);
+  check(ready_server_.Start(settings_.ready_listen), "readiness", settings_.ready_listen);
+  check(announce_server_.Start(settings_.announce_listen), "announcements",
+        settings_.announce_listen);
+  if (settings_.metrics_listen) {
+    check(metrics_server_.Start(*settings_.metrics_listen), "metrics", *settings_.metrics_listen);
+  }
+  if (!findings->empty()) return false;
+  store_.Start();
+  LogEvent(LogLevel::kInfo, "sidecar", "started")
+      .Add("node", settings_.node)
+      .Add("data_centre", settings_.data_centre)
+      .Add("service", settings_.service)
+      .Add("incarnation", incarnation_);
+  return true;
+}
+
+PeerHello Sidecar::NewHello() const {
+  PeerHello hello;
+  hello.node = settings_.node;
+  hello.incarnation = incarnation_;
+  hello.data_centre = settings_.data_centre;
+  hello.address = settings_.peer_listen.ToString();
+  hello.config_version = dispatcher_.config() == nullptr ? 0 : dispatcher_.config()->version();
+  hello.upstream = local_.status();
+  return hello;
+}
+
+void Sidecar::OnUpstreamStatus() {
+  const UpstreamStatus status = local_.status();
+  directory_.self()->status = status;
+  directory_.UpdateLoad(directory_.self(), status.load);
+  peer_listener_.Announce(status);
+}
+
+void Sidecar::OnPeerHello(const PeerHello& hello) {
+  const std::optional<NetAddress> address = NetAddress::Parse(hello.address);
+  if (address && !hello.node.empty()) {
+    directory_.Learn(hello.node, *address, hello.data_centre, false);
+  }
+  store_.OnNewerVersionSeen(hello.config_version);
+}
+
+void Sidecar::OnPeerMessage(Peer* peer, PeerMessage message) {
+  if (auto* result = std::get_if<CallResult>(&message)) {
+    store_.OnNewerVersionSeen(result->config_version);
+    return dispatcher_.OnResult(peer, std::move(*result));
+  }
+  if (const auto* status = std::get_if<UpstreamStatus>(&message)) {
+    peer->status = *status;
+    directory_.UpdateLoad(peer, status->load);
+  }
+}
+
+bool Sidecar::ready() const {
+  return !stop_began_ && dispatcher_.config() != nullptr && store_.joined();
+}
+
+ControlResponse Sidecar::HandleReady(const ControlRequest& request) const {
+  if (request.path != platform::kReadyPath) return {kNotFound, "text/plain", ""};
+  return {ready() ? kOk : kServiceUnavailable, "text/plain", ""};
+}
+
+ControlResponse Sidecar::HandleAnnouncement(const ControlRequest& request) {
+  const auto path = platform::ParseAnnouncementPath(request.path);
+  if (!request.post || !path) return {kNotFound, "text/plain", ""};
+  std::optional<UpstreamReport> report;
+  if (path->call == platform::AnnouncementCall::kDeregister) {
+    report = platform::DecodeDeregistration(path->instance, request.body);
+  } else {
+    Findings findings;
+    report = platform::DecodeHeartbeat(path->instance, request.body, &findings);
+    if (!report) {
+      metrics_.Count("reports_rejected_total");
+      LogEvent(LogLevel::kWarn, "upstream", "report_rejected")
+          .Add("instance", path->instance)
+          .Add("findings", findings.ToString());
+      return {kBadRequest, "application/json", "{}"};
+    }
+    if (report->address != settings_.upstream.ToString()) {
+      LogEvent(LogLevel::kWarn, "upstream", "report_of_other_address")
+          .Add("instance", path->instance)
+          .Add("address", report->address);
+      return {kOk, "application/json", "{}"};
+    }
+  }
+  const UpstreamRegistry::Change change = local_.Apply(*report);
+  if (change != UpstreamRegistry::Change::kRefreshed) {
+    LogEvent(LogLevel::kInfo, "upstream", "report")
+        .Add("instance", report->instance)
+        .Add("sequence", report->sequence)
+        .Add("state", static_cast<int>(report->state))
+        .Add("change", ToString(change));
+    const auto& departures = local_.registry().departures();
+    store_.SetDepartures({departures.begin(), departures.end()});
+  }
+  return {kOk, "application/json", "{}"};
+}
+
+ControlResponse Sidecar::HandleMetrics(const ControlRequest& request) {
+  if (request.path != "/metrics") return {kNotFound, "text/plain", ""};
+  metrics_.Set("config_version", static_cast<double>(NewHello().config_version));
+  metrics_.Set("store_calls", static_cast<double>(store_.calls()));
+  metrics_.Set("store_silence_seconds",
+               std::chrono::duration<double>(steady_clock::now() - store_.last_contact()).count());
+  metrics_.Set("upstream_connections_opened", static_cast<double>(local_.connections_opened()));
+  metrics_.Set("upstream_running", local_.load().running);
+  metrics_.Set("upstream_queued", local_.load().queued);
+  metrics_.Set("calls_active", static_cast<double>(dispatcher_.active()));
+  metrics_.Set("caller_connections", static_cast<double>(caller_listener_.connections()));
+  metrics_.Set("peers", static_cast<double>(directory_.size()));
+  return {kOk, "text/plain; version=0.0.4", metrics_.ToText()};
+}
+
+void Sidecar::Reload(const SidecarSettings& settings) {
+  LogEvent(LogLevel::kInfo, "sidecar", "reloaded")
+      .Add("service", settings.service)
+      .Add("before", settings_.service);
+  settings_.service = settings.service;
+}
+
+void Sidecar::Stop() {
+  if (stop_began_) {
+    event_base_loopbreak(base_);
+    return;
+  }
+  LogEvent(LogLevel::kInfo, "sidecar", "stopping")
+      .Add("calls", dispatcher_.active())
+      .Add("upstream_calls", local_.active());
+  stop_began_ = steady_clock::now();
+  stop_timer_.StartOnce(kReadinessMissed);
+}
+
+void Sidecar::ContinueStop() {
+  const auto spent = steady_clock::now() - *stop_began_;
+  const bool idle = dispatcher_.active() == 0 && local_.active() == 0;
+  if (!caller_listener_.keep_alive() && (idle || spent >= settings_.grace - kStopMargin)) {
+    LogEvent(LogLevel::kInfo, "sidecar", "stopped")
+        .Add("cut_calls", dispatcher_.active())
+        .Add("cut_upstream_calls", local_.active());
+    event_base_loopbreak(base_);
+    return;
+  }
+  local_.Stop();
+  caller_listener_.StopKeepAlive();
+  caller_listener_.CloseIdle();
+  stop_timer_.StartOnce(kStopPoll);
+}
+
+}  // namespace camphorhoist
--- /dev/null
+++ b/src/libsidecar/sidecar.h
@@ -0,0 +1,77 @@
+#ifndef CAMPHORHOIST_LIBSIDECAR_SIDECAR_H_
+#define CAMPHORHOIST_LIBSIDECAR_SIDECAR_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "camphorhoist/finding.h"
+#include "camphorhoist/sidecar_settings.h"
+#include "libbase/event_ptr.h"
+#include "libsidecar/caller_listener.h"
+#include "libsidecar/control_server.h"
+#include "libsidecar/dispatcher.h"
+#include "libsidecar/local_upstream.h"
+#include "libsidecar/peer_directory.h"
+#include "libsidecar/peer_listener.h"
+#include "libsidecar/sidecar_metrics.h"
+#include "libsidecar/store_sync.h"
+
+namespace camphorhoist {
+
+/// The process beside one upstream: carries the requests of the callers on its VM to the sidecars
+/// beside other upstreams, and is the only sender to its own upstream.
+///
+/// Thread safety: none; one thread creates, runs and stops it.
+class Sidecar {
+ public:
+  /// After this time from the start of a stop, callers have noticed that the sidecar is not ready:
+  /// readiness is checked each second, and two misses take it out.
+  static constexpr std::chrono::milliseconds kReadinessMissed{2200};
+  /// Kept before the end of the grace period for the last responses.
+  static constexpr std::chrono::milliseconds kStopMargin{500};
+  static constexpr std::chrono::milliseconds kStopPoll{50};
+
+  Sidecar(event_base* base, const SidecarSettings& settings, uint64_t incarnation);
+  Sidecar(const Sidecar&) = delete;
+  Sidecar& operator=(const Sidecar&) = delete;
+
+  /// Opens all listening sockets. Returns false with findings if one cannot be opened.
+  bool Start(Findings* findings);
+  /// Begins an orderly stop: the loop ends once all calls have their responses, or at the end of
+  /// the grace period. A second call ends the loop at once.
+  void Stop();
+  /// Takes the settings that can change while the process runs: the service of the upstream.
+  void Reload(const SidecarSettings& settings);
+
+ private:
+  PeerHello NewHello() const;
+  void OnUpstreamStatus();
+  void OnPeerMessage(Peer* peer, PeerMessage message);
+  void OnPeerHello(const PeerHello& hello);
+  ControlResponse HandleReady(const ControlRequest& request) const;
+  ControlResponse HandleAnnouncement(const ControlRequest& request);
+  ControlResponse HandleMetrics(const ControlRequest& request);
+  bool ready() const;
+  void ContinueStop();
+
+  event_base* base_;
+  SidecarSettings settings_;
+  uint64_t incarnation_;
+  SidecarMetrics metrics_;
+  LocalUpstream local_;
+  PeerDirectory directory_;
+  Dispatcher dispatcher_;
+  PeerListener peer_listener_;
+  CallerListener caller_listener_;
+  ControlServer ready_server_;
+  ControlServer announce_server_;
+  ControlServer metrics_server_;
+  StoreSync store_;
+  Timer stop_timer_;
+  std::optional<std::chrono::steady_clock::time_point> stop_began_;
+};
+
+}  // namespace camphorhoist
+
+#endif  // CAMPHORHOIST_LIBSIDECAR_SIDECAR_H_
--- a/src/libupstream/answer_parser.cc
+++ b/src/libupstream/answer_parser.cc
@@ -51,6 +51,8 @@
       return ReadChunkEnd(input);
     case State::kTrailer:
       return ReadTrailer(input);
+    case State::kUntilClose:
+      return TakeUntilClose(input);
     case State::kDone:
       return Step::kWhole;
   }
@@ -149,6 +151,9 @@
   } else if (content_length_) {
     remaining_ = *content_length_;
     state_ = remaining_ == 0 ? State::kDone : State::kBody;
+  } else if (unframed_ == Unframed::kUntilClose) {
+    keep_alive_ = false;
+    state_ = State::kUntilClose;
   } else {
     return Fail("the answer has neither Content-Length nor chunks, so its end is not known");
   }
@@ -166,6 +171,20 @@
   return Step::kData;
 }
 
+AnswerParser::Step AnswerParser::TakeUntilClose(evbuffer* input) {
+  const size_t size = std::min(evbuffer_get_length(input), kMaxDataBytes);
+  if (size == 0) return Step::kNeedMore;
+  data_.resize(size);
+  evbuffer_remove(input, data_.data(), size);
+  return Step::kData;
+}
+
+bool AnswerParser::OnClose() {
+  if (!fault_.empty() || state_ != State::kUntilClose) return false;
+  state_ = State::kDone;
+  return true;
+}
+
 AnswerParser::Step AnswerParser::ReadBody(evbuffer* input) { return TakeData(input); }
 
 AnswerParser::Step AnswerParser::ReadChunkSize(evbuffer* input) {
--- a/src/libupstream/answer_parser.h
+++ b/src/libupstream/answer_parser.h
@@ -37,12 +37,24 @@
   /// Size line of a chunk with its extensions.
   static constexpr size_t kMaxChunkLineBytes = 1024;
 
+  /// How an answer with neither Content-Length nor chunks is read.
+  enum class Unframed : uint8_t {
+    kBroken,
+    /// The body ends with the connection; the reader reports an orderly close by `OnClose`.
+    kUntilClose,
+  };
+
   /// `no_body`: the request was HEAD.
-  explicit AnswerParser(bool no_body) : no_body_(no_body) {}
+  explicit AnswerParser(bool no_body, Unframed unframed = Unframed::kBroken)
+      : no_body_(no_body), unframed_(unframed) {}
 
   /// Takes the next piece from `input`.
   Step Next(evbuffer* input);
 
+  /// Tells that the peer closed the connection in order and that all its bytes were taken. Returns
+  /// true if this completes the answer. A reset must not be reported here.
+  bool OnClose();
+
   int status() const { return status_; }
   const HttpHeaders& headers() const { return headers_; }
   /// Content-Length that the answer gave.
@@ -62,6 +74,7 @@
     kChunkData,
     kChunkEnd,
     kTrailer,
+    kUntilClose,
     kDone
   };
 
@@ -77,8 +90,10 @@
   Step ReadChunkEnd(evbuffer* input);
   Step ReadTrailer(evbuffer* input);
   Step TakeData(evbuffer* input);
+  Step TakeUntilClose(evbuffer* input);
 
   bool no_body_;
+  Unframed unframed_;
   State state_ = State::kStatusLine;
   bool chunked_ = false;
   bool keep_alive_ = false;
