Sidecar: unique process runs, bodies outside of messages, earlier end of a stop

(2) Memory over the limit beside the servers with large responses: retained results and copies of bodies fragmented the heap; bodies now follow the frame uncopied, and only responses to calls that must not run twice are retained. (4) Calls that can no longer meet their objective were starved by fresh ones until their deadline; they are refused once timely work fills their time. Ruled out: a leak in the upstream connections (bodies went with their exchange).

--- a/include/camphorhoist/server_queue.h
+++ b/include/camphorhoist/server_queue.h
@@ -63,6 +63,10 @@
 
   explicit ServerQueue(uint32_t slots) : slots_(slots) {}
 
+  /// A late call waits on only if the timely work before it takes at most this share of the time
+  /// that it has left.
+  static constexpr double kMaxLateWaitShare = 0.25;
+
   enum class Verdict : uint8_t {
     kStart,
     kQueued,
@@ -113,6 +117,8 @@
   void Start(ProxyTime now, const PendingCall& call);
   ProxyDuration ExpectedWait(ProxyTime now, const PendingCall& call) const;
   ProxyTime LatestStart(const PendingCall& call) const;
+  bool Late(ProxyTime now, const PendingCall& call) const;
+  bool Displaced(ProxyTime now, const PendingCall& call, double timely_us) const;
   bool GoesBefore(ProxyTime now, const PendingCall& a, const PendingCall& b) const;
 
   uint32_t slots_;
--- a/src/camphorhoist_sidecar/main.cc
+++ b/src/camphorhoist_sidecar/main.cc
@@ -2,12 +2,14 @@
 
 #include <signal.h>
 #include <sys/stat.h>
+#include <xxhash.h>
 
 #include <chrono>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,9 +31,13 @@
 /// The settings file may change without a signal; this is how often it is looked at.
 constexpr std::chrono::seconds kSettingsCheck{2};
 
-uint64_t NewIncarnation() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+// The time alone is not unique: processes start at the same moment, and the time of day may jump.
+uint64_t NewIncarnation(const std::string& node) {
+  const auto wall = std::chrono::system_clock::now().time_since_epoch().count();
+  const auto steady = std::chrono::steady_clock::now().time_since_epoch().count();
+  const std::string text = node + "|" + std::to_string(wall) + "|" + std::to_string(steady) + "|" +
+                           std::to_string(std::random_device()());
+  return XXH64(text.data(), text.size(), 0);
 }
 
 struct Options {
@@ -98,7 +104,7 @@
   ConfigureLogging(options.log_level, settings.node, "--log-level", &findings);
   signal(SIGPIPE, SIG_IGN);
   const EventBasePtr base = NewPreciseEventBase();
-  Sidecar sidecar(base.get(), settings, NewIncarnation());
+  Sidecar sidecar(base.get(), settings, NewIncarnation(settings.node));
   if (!findings.empty() || !sidecar.Start(&findings)) {
     std::cerr << findings.ToString() << "\n";
     return kExitFailed;
--- a/src/libproxy/server_queue.cc
+++ b/src/libproxy/server_queue.cc
@@ -26,8 +26,7 @@
 
 bool ServerQueue::GoesBefore(ProxyTime now, const PendingCall& a, const PendingCall& b) const {
   const auto rank = [this, now](const PendingCall& call) {
-    const bool late = now + ExpectedServiceTime(call.profile) > call.objective;
-    return std::make_tuple(!call.nested, late, call.priority, call.objective);
+    return std::make_tuple(!call.nested, Late(now, call), call.priority, call.objective);
   };
   return rank(a) < rank(b);
 }
@@ -65,8 +64,7 @@
   }
   if (wait > max_wait) return {Verdict::kBusy, wait};
   const ProxyTime done = now + wait + ExpectedServiceTime(call.profile);
-  const bool was_late = now + ExpectedServiceTime(call.profile) > call.objective;
-  if (now + wait > LatestStart(call) || (!was_late && done > call.objective)) {
+  if (now + wait > LatestStart(call) || (!Late(now, call) && done > call.objective)) {
     return {Verdict::kHopeless, wait};
   }
   waiting_.push_back(call);
@@ -77,10 +75,28 @@
   running_[call.key] = Running{now, call.profile};
 }
 
+bool ServerQueue::Late(ProxyTime now, const PendingCall& call) const {
+  return now + ExpectedServiceTime(call.profile) > call.objective;
+}
+
+// With enough waiting work that can still meet its objective, a late call would not be reached
+// before its deadline; its caller is better told at once.
+bool ServerQueue::Displaced(ProxyTime now, const PendingCall& call, double timely_us) const {
+  if (!Late(now, call)) return false;
+  const double wait_us = timely_us / std::max<uint32_t>(slots_, 1);
+  const double left_us = static_cast<double>(
+      std::chrono::duration_cast<ProxyDuration>(LatestStart(call) - now).count());
+  return wait_us > kMaxLateWaitShare * left_us;
+}
+
 std::vector<ServerQueue::Step> ServerQueue::Advance(ProxyTime now) {
   std::vector<Step> steps;
+  double timely_us = 0;
+  for (const PendingCall& it : waiting_) {
+    if (!Late(now, it)) timely_us += static_cast<double>(ExpectedServiceTime(it.profile).count());
+  }
   for (auto it = waiting_.begin(); it != waiting_.end();) {
-    if (now >= LatestStart(*it)) {
+    if (now >= LatestStart(*it) || Displaced(now, *it, timely_us)) {
       steps.push_back({it->key, false});
       it = waiting_.erase(it);
     } else {
--- a/src/libsidecar/caller_listener.cc
+++ b/src/libsidecar/caller_listener.cc
@@ -46,7 +46,9 @@
   cleanup_.StartOnce(std::chrono::microseconds(0));
 }
 
-void CallerListener::CloseIdle() {
+void CallerListener::Stop() {
+  keep_alive_ = false;
+  listener_.reset();
   std::vector<CallerConnection*> idle;
   for (const auto& it : connections_) {
     if (it.second->idle()) idle.push_back(it.second.get());
--- a/src/libsidecar/caller_listener.h
+++ b/src/libsidecar/caller_listener.h
@@ -30,9 +30,9 @@
   CallerListener& operator=(const CallerListener&) = delete;
 
   bool Start(const NetAddress& address, std::error_code* ec);
-  /// Closes each connection after its next response, and idle ones when `CloseIdle` is called.
-  void StopKeepAlive() { keep_alive_ = false; }
-  void CloseIdle();
+  /// Takes no new connections, closes the idle ones, and each other one after the request that it
+  /// is reading or has under way.
+  void Stop();
   bool keep_alive() const { return keep_alive_; }
   size_t connections() const { return connections_.size(); }
 
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -126,7 +126,7 @@
   std::vector<Peer*> candidates;
   for (const auto& [node, peer] : directory_->peers()) {
     const UpstreamStatus& status = peer->status;
-    if (!status.ready || status.service != call.service || !peer->up()) continue;
+    if (!status.ready || status.service != call.service || !peer->usable()) continue;
     if (excluded.count(node) == 0) candidates.push_back(peer.get());
   }
   return candidates;
@@ -222,9 +222,9 @@
   offer.nested = call->request.nested;
   offer.idempotent = call->route.idempotent();
   offer.max_wait = max_wait;
-  if (!peer->local()) return LinkOf(*call, peer)->Send(offer);
+  if (!peer->local()) return LinkOf(*call, peer)->Send(std::move(offer));
   local_->Offer(std::move(offer), 0,
-                [this](const CallResult& result) { local_results_.Post(result); });
+                [this](CallResult result) { local_results_.Post(std::move(result)); });
 }
 
 void Dispatcher::OnResult(Peer* peer, CallResult result) {
@@ -362,7 +362,6 @@
       SendOffer(call, peer, kAnyWait);
       continue;
     }
-    if (!call->route.idempotent()) continue;
     call->lost_timer = std::make_unique<Timer>(base_, [this, handle] { OnLostTooLong(handle); });
     call->lost_timer->StartOnce(kReconnectWait);
   }
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -49,8 +49,9 @@
 
   /// Offers of one call before it has to take the best server found so far.
   static constexpr int kMaxOffers = 4;
-  /// Time to reach the sidecar again after its connection broke, before an idempotent call is sent
-  /// to another one.
+  /// Time to reach the sidecar again after its connection broke. Then an idempotent call is sent to
+  /// another one, and the outcome of any other is reported as unknown: cuts last longer than
+  /// callers wait.
   static constexpr std::chrono::milliseconds kReconnectWait{250};
   /// Time for the final result beyond the deadline, over that of the sidecar beside the server.
   static constexpr std::chrono::milliseconds kResultSlack{200};
--- a/src/libsidecar/frame_stream.cc
+++ b/src/libsidecar/frame_stream.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "libbase/socket_options.h"
+#include "libsidecar/http_text.h"
 
 namespace camphorhoist {
 
@@ -15,6 +16,7 @@
     : handlers_(std::move(handlers)),
       bufev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
   TuneSocket(fd, kSilence);
+  bufferevent_set_max_single_read(bufev_.get(), kSocketReadBytes);
   bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, nullptr, &FrameStream::OnEvent, this);
   bufferevent_enable(bufev_.get(), EV_READ | EV_WRITE);
 }
@@ -24,6 +26,7 @@
     : handlers_(std::move(handlers)),
       bufev_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)) {
   bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, nullptr, &FrameStream::OnEvent, this);
+  bufferevent_set_max_single_read(bufev_.get(), kSocketReadBytes);
   const timeval tv = ToTimeval(timeout);
   bufferevent_set_timeouts(bufev_.get(), nullptr, &tv);
   sockaddr_in sin{};
@@ -34,8 +37,10 @@
   bufferevent_socket_connect(bufev_.get(), reinterpret_cast<sockaddr*>(&sin), sizeof(sin));
 }
 
-void FrameStream::Send(const PeerMessage& message) {
-  if (bufev_ != nullptr) AppendFrame(message, bufferevent_get_output(bufev_.get()));
+void FrameStream::Send(PeerMessage message) {
+  if (bufev_ != nullptr) {
+    AppendFrame(std::move(message), bufferevent_get_output(bufev_.get()));
+  }
 }
 
 void FrameStream::Close() { bufev_.reset(); }
--- a/src/libsidecar/frame_stream.h
+++ b/src/libsidecar/frame_stream.h
@@ -35,7 +35,7 @@
   FrameStream& operator=(const FrameStream&) = delete;
 
   /// Ignored once the stream is closed.
-  void Send(const PeerMessage& message);
+  void Send(PeerMessage message);
   /// Closes without a further call of a handler.
   void Close();
   bool open() const { return bufev_ != nullptr; }
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -88,6 +88,7 @@
   entry.source = source;
   entry.reply = std::move(reply);
   entry.deadline = now + offer.time_left;
+  entry.idempotent = offer.idempotent;
   entry.key = next_key_++;
   PendingCall call;
   call.key = entry.key;
@@ -130,7 +131,7 @@
       platform::EncodeUpstreamHeaders(std::move(entry->offer.headers), left,
                                       registry_.current()->instance, entry->offer.origin_service);
   call.body = std::move(entry->offer.body);
-  call.idempotent = entry->offer.idempotent;
+  call.idempotent = entry->idempotent;
   entry->timer = std::make_unique<Timer>(base_, [this, id] { OnDeadline(id); });
   entry->timer->StartOnce(left + kResponseSlack);
   entry->handle = pool_.Start(
@@ -183,15 +184,20 @@
   result.load = queue_.load(now);
   const Reply reply = std::move(entry->reply);
   entry->reply = nullptr;
-  if (reply) reply(result);
-  // A response of which the body is not retained cannot be given again.
-  if (retained_bytes_ + result.body.size() > kMaxRetainedBytes) {
-    result = NewResult(id, ResultKind::kUnknown, ResultReason::kConnectionLost);
-    result.reached_upstream = true;
+  // An idempotent call may run again instead.
+  const bool has_response = result.kind == ResultKind::kResponse;
+  const bool retained =
+      !has_response ||
+      (!entry->idempotent && retained_bytes_ + result.body.size() <= kMaxRetainedBytes);
+  if (retained) {
+    entry->result = result;
+  } else {
+    entry->result = NewResult(id, ResultKind::kUnknown, ResultReason::kConnectionLost);
+    entry->result.reached_upstream = true;
   }
-  retained_bytes_ += result.body.size();
-  entry->result = std::move(result);
+  retained_bytes_ += entry->result.body.size();
   ended_.emplace_back(now, id);
+  if (reply) reply(std::move(result));
 }
 
 void LocalUpstream::ForgetOld() {
@@ -232,7 +238,7 @@
   if (entry.state == State::kWaiting) {
     queue_.Withdraw(entry.key);
     Finish(id, &entry, NewResult(id, ResultKind::kNotRun, ResultReason::kCancelled));
-  } else if (entry.state == State::kRunning && entry.offer.idempotent) {
+  } else if (entry.state == State::kRunning && entry.idempotent) {
     pool_.Cancel(entry.handle);
     queue_.OnFinish(entry.key, std::nullopt);
     CallResult result = NewResult(id, ResultKind::kUnknown, ResultReason::kCancelled);
@@ -249,7 +255,7 @@
     if (entry.source != source || entry.state == State::kDone) continue;
     entry.reply = nullptr;
     if (entry.state == State::kWaiting) waiting.push_back(id);
-    if (entry.state == State::kRunning && entry.offer.idempotent) running.push_back(id);
+    if (entry.state == State::kRunning && entry.idempotent) running.push_back(id);
   }
   for (const CallId& id : waiting) Cancel(id);
   if (running.empty()) return;
--- a/src/libsidecar/local_upstream.h
+++ b/src/libsidecar/local_upstream.h
@@ -24,7 +24,7 @@
 /// from inside `Offer` of the same call.
 class LocalUpstream {
  public:
-  using Reply = std::function<void(const CallResult&)>;
+  using Reply = std::function<void(CallResult)>;
   /// Identifies the connection that a call came by; 0 for calls of this process.
   using Source = uint64_t;
 
@@ -74,6 +74,7 @@
     Source source = 0;
     Reply reply;
     uint64_t key = 0;
+    bool idempotent = false;
     UpstreamPool::Handle handle = 0;
     std::unique_ptr<Timer> timer;
     CallResult result;
--- a/src/libsidecar/peer.capnp
+++ b/src/libsidecar/peer.capnp
@@ -44,6 +44,7 @@
   upstream @5 :Upstream;
 }
 
+# The body follows the frame's message.
 struct Offer {
   id @0 :CallId;
   service @1 :Text;
@@ -52,20 +53,20 @@
   method @4 :Text;
   target @5 :Text;
   headers @6 :List(Header);
-  body @7 :Data;
   # Service on the VM where the request began.
-  originService @8 :Text;
-  timeLeftMicros @9 :UInt32;
+  originService @7 :Text;
+  timeLeftMicros @8 :UInt32;
   # Below 0 once the objective is missed.
-  objectiveLeftMicros @10 :Int32;
-  profile @11 :UInt64;
-  priority @12 :Int32;
-  nested @13 :Bool;
-  idempotent @14 :Bool;
+  objectiveLeftMicros @9 :Int32;
+  profile @10 :UInt64;
+  priority @11 :Int32;
+  nested @12 :Bool;
+  idempotent @13 :Bool;
   # Longest predicted wait that the sender accepts.
-  maxWaitMicros @15 :UInt32;
+  maxWaitMicros @14 :UInt32;
 }
 
+# The body follows the frame's message.
 struct Result {
   id @0 :CallId;
   kind @1 :UInt8;
@@ -73,9 +74,8 @@
   reachedUpstream @3 :Bool;
   status @4 :UInt16;
   headers @5 :List(Header);
-  body @6 :Data;
-  load @7 :Load;
-  configVersion @8 :UInt64;
+  load @6 :Load;
+  configVersion @7 :UInt64;
 }
 
 struct Frame {
--- a/src/libsidecar/peer.capnp.h
+++ b/src/libsidecar/peer.capnp.h
@@ -114,7 +114,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a55eb2e64aa6c1cb, 4, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(a55eb2e64aa6c1cb, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -129,7 +129,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af9faef0ddf7d986, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(af9faef0ddf7d986, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -702,9 +702,6 @@
   inline bool hasHeaders() const;
   inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
   inline bool hasOriginService() const;
   inline  ::capnp::Text::Reader getOriginService() const;
 
@@ -799,13 +796,6 @@
   inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
-
   inline bool hasOriginService();
   inline  ::capnp::Text::Builder getOriginService();
   inline void setOriginService( ::capnp::Text::Reader value);
@@ -892,9 +882,6 @@
   inline bool hasHeaders() const;
   inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
-
   inline bool hasLoad() const;
   inline  ::camphorhoist::peer::Load::Reader getLoad() const;
 
@@ -954,13 +941,6 @@
   inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
-
   inline bool hasLoad();
   inline  ::camphorhoist::peer::Load::Builder getLoad();
   inline void setLoad( ::camphorhoist::peer::Load::Reader value);
@@ -1861,72 +1841,38 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool Offer::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline bool Offer::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader Offer::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder Offer::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-inline void Offer::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder Offer::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
-}
-inline void Offer::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> Offer::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
-}
-
 inline bool Offer::Reader::hasOriginService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasOriginService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Offer::Reader::getOriginService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Offer::Builder::getOriginService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 inline void Offer::Builder::setOriginService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Offer::Builder::initOriginService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
 inline void Offer::Builder::adoptOriginService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Offer::Builder::disownOriginService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<8>() * ::capnp::POINTERS));
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
 inline  ::uint32_t Offer::Reader::getTimeLeftMicros() const {
@@ -2156,77 +2102,43 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Result::Reader::hasBody() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Result::Builder::hasBody() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Data::Reader Result::Reader::getBody() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Data::Builder Result::Builder::getBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Result::Builder::setBody( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Data::Builder Result::Builder::initBody(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Result::Builder::adoptBody(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Data> Result::Builder::disownBody() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
 inline bool Result::Reader::hasLoad() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Result::Builder::hasLoad() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline  ::camphorhoist::peer::Load::Reader Result::Reader::getLoad() const {
   return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline  ::camphorhoist::peer::Load::Builder Result::Builder::getLoad() {
   return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::camphorhoist::peer::Load::Pipeline Result::Pipeline::getLoad() {
-  return  ::camphorhoist::peer::Load::Pipeline(_typeless.getPointerField(3));
+  return  ::camphorhoist::peer::Load::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
 inline void Result::Builder::setLoad( ::camphorhoist::peer::Load::Reader value) {
   ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
 inline  ::camphorhoist::peer::Load::Builder Result::Builder::initLoad() {
   return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 inline void Result::Builder::adoptLoad(
     ::capnp::Orphan< ::camphorhoist::peer::Load>&& value) {
   ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::camphorhoist::peer::Load> Result::Builder::disownLoad() {
   return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline  ::uint64_t Result::Reader::getConfigVersion() const {
--- a/src/libsidecar/peer_directory.h
+++ b/src/libsidecar/peer_directory.h
@@ -38,6 +38,8 @@
 
   bool local() const { return link == nullptr; }
   bool up() const { return local() || link->up(); }
+  /// May be offered calls.
+  bool usable() const { return local() || (link->up() && !link->suspect()); }
 };
 
 /// The sidecars of the mesh that this one knows, with a connection to each.
--- a/src/libsidecar/peer_link.cc
+++ b/src/libsidecar/peer_link.cc
@@ -63,8 +63,12 @@
   if (up_ && silence >= kPingInterval) stream_->Send(PeerPing{});
 }
 
-void PeerLink::Send(const PeerMessage& message) {
-  if (up_) stream_->Send(message);
+void PeerLink::Send(PeerMessage message) {
+  if (up_) stream_->Send(std::move(message));
+}
+
+bool PeerLink::suspect() const {
+  return outstanding_ > 0 && steady_clock::now() - last_received_ >= kSuspicion;
 }
 
 void PeerLink::AddOutstanding(int change) {
--- a/src/libsidecar/peer_link.h
+++ b/src/libsidecar/peer_link.h
@@ -33,16 +33,20 @@
   static constexpr std::chrono::milliseconds kMinRetry{50};
   static constexpr std::chrono::milliseconds kMaxRetry{1000};
   /// While calls are outstanding, a peer is asked for a sign of life after this time without one.
-  static constexpr std::chrono::milliseconds kPingInterval{200};
+  static constexpr std::chrono::milliseconds kPingInterval{100};
+  /// A peer that gives no sign for this long gets no further calls for now.
+  static constexpr std::chrono::milliseconds kSuspicion{220};
   /// A peer that gives no sign for this long is taken to be unreachable by this connection.
-  static constexpr std::chrono::milliseconds kSilenceLimit{700};
+  static constexpr std::chrono::milliseconds kSilenceLimit{350};
 
   PeerLink(event_base* base, NetAddress address, Handlers handlers);
   PeerLink(const PeerLink&) = delete;
   PeerLink& operator=(const PeerLink&) = delete;
 
-  void Send(const PeerMessage& message);
+  void Send(PeerMessage message);
   bool up() const { return up_; }
+  /// A call is outstanding and the peer did not respond to a ping yet.
+  bool suspect() const;
   const NetAddress& address() const { return address_; }
   /// Number of outstanding calls; the peer is watched while it is above 0.
   void AddOutstanding(int change);
--- a/src/libsidecar/peer_listener.cc
+++ b/src/libsidecar/peer_listener.cc
@@ -51,8 +51,9 @@
 
 void PeerListener::OnMessage(uint64_t source, PeerMessage message) {
   if (auto* offer = std::get_if<CallOffer>(&message)) {
-    return upstream_->Offer(std::move(*offer), source,
-                            [this, source](const CallResult& result) { Reply(source, result); });
+    return upstream_->Offer(std::move(*offer), source, [this, source](CallResult result) {
+      Reply(source, std::move(result));
+    });
   }
   if (const auto* cancel = std::get_if<CallCancel>(&message)) return upstream_->Cancel(cancel->id);
   if (const auto* ping = std::get_if<PeerPing>(&message)) {
@@ -64,12 +65,11 @@
   }
 }
 
-void PeerListener::Reply(uint64_t source, const CallResult& result) {
+void PeerListener::Reply(uint64_t source, CallResult result) {
   const auto it = streams_.find(source);
   if (it == streams_.end()) return;
-  CallResult stamped = result;
-  stamped.config_version = handlers_.config_version();
-  it->second->Send(stamped);
+  result.config_version = handlers_.config_version();
+  it->second->Send(std::move(result));
 }
 
 void PeerListener::OnClosed(uint64_t source) {
--- a/src/libsidecar/peer_listener.h
+++ b/src/libsidecar/peer_listener.h
@@ -49,7 +49,7 @@
   void Add(evutil_socket_t fd);
   void OnMessage(uint64_t source, PeerMessage message);
   void OnClosed(uint64_t source);
-  void Reply(uint64_t source, const CallResult& result);
+  void Reply(uint64_t source, CallResult result);
 
   event_base* base_;
   LocalUpstream* upstream_;
--- a/src/libsidecar/peer_messages.cc
+++ b/src/libsidecar/peer_messages.cc
@@ -17,7 +17,10 @@
 
 // Most messages fit into one segment of this size on the stack.
 constexpr size_t kScratchWords = 512;
-constexpr size_t kSizeBytes = 4;
+// Two sizes of 32 bits.
+constexpr size_t kFrameHeadBytes = 8;
+// Shorter bodies are copied, which is cheaper than a reference.
+constexpr size_t kMinReferenceBytes = 4096;
 
 uint32_t ClampMicros(ProxyDuration duration) {
   return static_cast<uint32_t>(std::clamp<int64_t>(duration.count(), 0, UINT32_MAX));
@@ -29,12 +32,6 @@
   return static_cast<uint16_t>(std::min<uint32_t>(count, UINT16_MAX));
 }
 
-capnp::Data::Reader ToData(const std::string& text) {
-  return {reinterpret_cast<const kj::byte*>(text.data()), text.size()};
-}
-std::string FromData(capnp::Data::Reader data) {
-  return {reinterpret_cast<const char*>(data.begin()), data.size()};
-}
 std::string FromText(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
 
 void Write(const CallId& id, peer::CallId::Builder out) {
@@ -121,7 +118,6 @@
   out.setMethod(offer.method);
   out.setTarget(offer.target);
   WriteHeaders(offer.headers, &out);
-  out.setBody(ToData(offer.body));
   out.setOriginService(offer.origin_service);
   out.setTimeLeftMicros(ClampMicros(offer.time_left));
   out.setObjectiveLeftMicros(ClampSignedMicros(offer.objective_left));
@@ -140,7 +136,6 @@
   offer.method = FromText(in.getMethod());
   offer.target = FromText(in.getTarget());
   offer.headers = Read(in.getHeaders());
-  offer.body = FromData(in.getBody());
   offer.origin_service = FromText(in.getOriginService());
   offer.time_left = ProxyDuration(in.getTimeLeftMicros());
   offer.objective_left = ProxyDuration(in.getObjectiveLeftMicros());
@@ -160,7 +155,6 @@
   out.setReachedUpstream(result.reached_upstream);
   out.setStatus(static_cast<uint16_t>(result.status));
   WriteHeaders(result.headers, &out);
-  out.setBody(ToData(result.body));
   Write(result.load, out.initLoad());
   out.setConfigVersion(result.config_version);
 }
@@ -177,7 +171,6 @@
   result.reached_upstream = in.getReachedUpstream();
   result.status = in.getStatus();
   result.headers = Read(in.getHeaders());
-  result.body = FromData(in.getBody());
   result.load = Read(in.getLoad());
   result.config_version = in.getConfigVersion();
   return result;
@@ -249,7 +242,35 @@
   return "none";
 }
 
-void AppendFrame(const PeerMessage& message, evbuffer* output) {
+namespace {
+
+std::string* BodyOf(PeerMessage* message) {
+  if (auto* offer = std::get_if<CallOffer>(message)) return &offer->body;
+  if (auto* result = std::get_if<CallResult>(message)) return &result->body;
+  return nullptr;
+}
+
+void PutSize(size_t size, unsigned char* out) {
+  for (int i = 0; i < 4; ++i) out[i] = static_cast<unsigned char>(size >> (8 * i));
+}
+size_t GetSize(const unsigned char* in) {
+  return in[0] | in[1] << 8 | in[2] << 16 | static_cast<size_t>(in[3]) << 24;
+}
+
+void AppendBody(std::string body, evbuffer* output) {
+  if (body.size() < kMinReferenceBytes) {
+    evbuffer_add(output, body.data(), body.size());
+    return;
+  }
+  auto* owned = new std::string(std::move(body));
+  evbuffer_add_reference(
+      output, owned->data(), owned->size(),
+      [](const void*, size_t, void* arg) { delete static_cast<std::string*>(arg); }, owned);
+}
+
+}  // namespace
+
+void AppendFrame(PeerMessage message, evbuffer* output) {
   capnp::word scratch[kScratchWords];
   std::memset(scratch, 0, sizeof(scratch));
   capnp::MallocMessageBuilder builder(kj::arrayPtr(scratch, kScratchWords));
@@ -257,33 +278,40 @@
   std::visit([&frame](const auto& it) { Write(it, frame); }, message);
   const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
   const kj::ArrayPtr<const kj::byte> bytes = words.asBytes();
-  const auto size = static_cast<uint32_t>(bytes.size());
-  const std::array<unsigned char, kSizeBytes> head = {
-      static_cast<unsigned char>(size), static_cast<unsigned char>(size >> 8),
-      static_cast<unsigned char>(size >> 16), static_cast<unsigned char>(size >> 24)};
+  std::string* body = BodyOf(&message);
+  std::array<unsigned char, kFrameHeadBytes> head{};
+  PutSize(bytes.size(), head.data());
+  PutSize(body == nullptr ? 0 : body->size(), head.data() + 4);
   evbuffer_add(output, head.data(), head.size());
   evbuffer_add(output, bytes.begin(), bytes.size());
+  if (body != nullptr && !body->empty()) AppendBody(std::move(*body), output);
 }
 
 FrameStatus TakeFrame(evbuffer* input, PeerMessage* message) {
-  std::array<unsigned char, kSizeBytes> head{};
+  std::array<unsigned char, kFrameHeadBytes> head{};
   if (evbuffer_copyout(input, head.data(), head.size()) < static_cast<ev_ssize_t>(head.size())) {
     return FrameStatus::kNeedMore;
   }
-  const size_t size = head[0] | head[1] << 8 | head[2] << 16 | static_cast<size_t>(head[3]) << 24;
-  if (size > kMaxFrameBytes || size % sizeof(capnp::word) != 0) return FrameStatus::kBroken;
-  if (evbuffer_get_length(input) < head.size() + size) return FrameStatus::kNeedMore;
+  const size_t size = GetSize(head.data());
+  const size_t body_size = GetSize(head.data() + 4);
+  if (size + body_size > kMaxFrameBytes || size % sizeof(capnp::word) != 0) {
+    return FrameStatus::kBroken;
+  }
+  if (evbuffer_get_length(input) < head.size() + size + body_size) return FrameStatus::kNeedMore;
   evbuffer_drain(input, head.size());
   kj::Array<capnp::word> words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
   evbuffer_remove(input, words.begin(), size);
   bool read = false;
   const kj::Maybe<kj::Exception> fault = kj::runCatchingExceptions([&] {
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = kMaxFrameBytes;
-    capnp::FlatArrayMessageReader reader(words, options);
+    capnp::FlatArrayMessageReader reader(words);
     read = ReadMessage(reader.getRoot<peer::Frame>(), message);
   });
-  return read && fault == nullptr ? FrameStatus::kMessage : FrameStatus::kBroken;
+  if (!read || fault != nullptr) return FrameStatus::kBroken;
+  std::string* body = BodyOf(message);
+  if (body == nullptr) return body_size == 0 ? FrameStatus::kMessage : FrameStatus::kBroken;
+  body->resize(body_size);
+  evbuffer_remove(input, body->data(), body_size);
+  return FrameStatus::kMessage;
 }
 
 }  // namespace camphorhoist
--- a/src/libsidecar/peer_messages.h
+++ b/src/libsidecar/peer_messages.h
@@ -120,8 +120,9 @@
 /// Longest frame; bounds what a faulty peer can make this process hold.
 inline constexpr size_t kMaxFrameBytes = 96 << 20;
 
-/// Appends `message` as one frame: its size as 32 bits little-endian, and a Cap'n Proto message.
-void AppendFrame(const PeerMessage& message, evbuffer* output);
+/// Appends `message` as one frame: the sizes of both parts as 32 bits little-endian each, a Cap'n
+/// Proto message, and the body. The body is not copied.
+void AppendFrame(PeerMessage message, evbuffer* output);
 
 enum class FrameStatus : uint8_t { kMessage, kNeedMore, kBroken };
 /// Takes the next frame from `input`. `*message` is set with `kMessage` only.
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -222,8 +222,7 @@
     return;
   }
   local_.Stop();
-  caller_listener_.StopKeepAlive();
-  caller_listener_.CloseIdle();
+  caller_listener_.Stop();
   stop_timer_.StartOnce(kStopPoll);
 }
 
