Sidecar: a late report does not undo a deregistration that came first; stop later

A departure without a start time now covers all reports of that id but the first two. (2) A restarted process comes back about 6.6 s after SIGTERM however early it exits, so a sidecar that stops keeps its upstream in use until 2 s before the end of the grace period and refuses only calls that could be cut off. Ruled out: that a peer sent the requests (the server's own sidecar did).

--- a/include/camphorhoist/upstream_registry.h
+++ b/include/camphorhoist/upstream_registry.h
@@ -16,6 +16,7 @@
 /// sidecar, so that a late report does not bring the upstream back.
 struct UpstreamDeparture {
   std::string instance;
+  /// Empty if the upstream did not tell it: a deregistration need not.
   std::optional<int64_t> started_ms;
 
   friend bool operator==(const UpstreamDeparture& a, const UpstreamDeparture& b) {
@@ -34,6 +35,10 @@
   /// Departures remembered; more than one VM's upstream has in the time a report can be late.
   static constexpr size_t kMaxDepartures = 16;
 
+  /// Reports with at most this number may be of another start under the same id, where the start
+  /// that left did not tell its time.
+  static constexpr int64_t kFreshSequence = 2;
+
   /// `interval`: time between two reports.
   explicit UpstreamRegistry(ProxyDuration interval) : interval_(interval) {}
 
--- a/src/libproxy/budget_and_registry_test.cc
+++ b/src/libproxy/budget_and_registry_test.cc
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(ReportsOfAnEarlierStartAreIgnored);
   CPPUNIT_TEST(TheSameIdMayStartAgain);
   CPPUNIT_TEST(DepartureOutlivesTheProcess);
+  CPPUNIT_TEST(DeregistrationBeforeTheFirstReport);
   CPPUNIT_TEST(SilenceEndsAnUpstream);
   CPPUNIT_TEST(UnreachableUntilItsNextReport);
   CPPUNIT_TEST_SUITE_END();
@@ -133,6 +134,22 @@
     CPPUNIT_ASSERT(!late.ready(kStart));
   }
 
+  // Guards against a restarted sidecar that hears first of the end of a server, without the time of
+  // its start, and then takes a late report of it.
+  void DeregistrationBeforeTheFirstReport() {
+    UpstreamRegistry registry(milliseconds(1500));
+    UpstreamReport left = Report("i", 0, 0, UpstreamState::kLeft);
+    left.started_ms.reset();
+    CPPUNIT_ASSERT(registry.Apply(kStart, left) == Change::kIgnored);
+    CPPUNIT_ASSERT(registry.Apply(kStart, Report("i", 5, 21)) == Change::kIgnored);
+    CPPUNIT_ASSERT(!registry.ready(kStart));
+    UpstreamRegistry later(milliseconds(1500));
+    for (const UpstreamDeparture& it : registry.departures()) later.Restore(it);
+    CPPUNIT_ASSERT(later.Apply(kStart, Report("i", 5, 22)) == Change::kIgnored);
+    // The server may start again under its id; its counts start anew.
+    CPPUNIT_ASSERT(later.Apply(kStart, Report("i", 9, 1)) == Change::kArrived);
+  }
+
   // Guards against a crashed server that is taken to be there for ever.
   void SilenceEndsAnUpstream() {
     UpstreamRegistry registry(milliseconds(1500));
--- a/src/libproxy/call_placement_test.cc
+++ b/src/libproxy/call_placement_test.cc
@@ -69,8 +69,8 @@
   // asked with any wait.
   void GoesRoundBusyServersAndThenTakesTheBest() {
     std::mt19937_64 rng(1);
-    std::vector<ServerCandidate> candidates;
-    for (int i = 0; i < 3; ++i) candidates.push_back(Candidate(std::to_string(i), "a", 12));
+    const std::vector<ServerCandidate> candidates = {
+        Candidate("0", "a", 12), Candidate("1", "a", 12), Candidate("2", "a", 12)};
     CallPlacement placement;
     std::set<size_t> asked;
     for (int i = 0; i < 3; ++i) {
@@ -121,8 +121,9 @@
   // Guards against a herd: all senders choosing the same of several equal servers.
   void EqualServersShareTheCalls() {
     std::mt19937_64 rng(1);
-    std::vector<ServerCandidate> candidates;
-    for (int i = 0; i < 4; ++i) candidates.push_back(Candidate(std::to_string(i), "a", 2));
+    const std::vector<ServerCandidate> candidates = {Candidate("0", "a", 2), Candidate("1", "a", 2),
+                                                     Candidate("2", "a", 2),
+                                                     Candidate("3", "a", 2)};
     std::vector<int> count(4, 0);
     for (int i = 0; i < 400; ++i) {
       ++count[CallPlacement().Next(kNow, "a", 1500, candidates, &rng)->index];
--- a/src/libproxy/load_replay_bench.cc
+++ b/src/libproxy/load_replay_bench.cc
@@ -41,8 +41,9 @@
       timely += static_cast<double>(sum.timely) / calls / kSeeds;
       late += static_cast<double>(sum.late) / calls / kSeeds;
       refused += static_cast<double>(sum.refused) / calls / kSeeds;
-      if (sum.refusals > 0)
+      if (sum.refusals > 0) {
         held += sum.refusal_held_ms / static_cast<double>(sum.refusals) / kSeeds;
+      }
       offers += result.offers / kSeeds;
       busy += result.utilisation / kSeeds;
     }
--- a/src/libproxy/upstream_registry.cc
+++ b/src/libproxy/upstream_registry.cc
@@ -15,7 +15,11 @@
 bool UpstreamRegistry::Departed(const UpstreamReport& report) const {
   return std::any_of(departures_.begin(), departures_.end(),
                      [&report](const UpstreamDeparture& it) {
-                       return it.instance == report.instance && it.started_ms == report.started_ms;
+                       if (it.instance != report.instance) return false;
+                       if (it.started_ms && report.started_ms) {
+                         return *it.started_ms == *report.started_ms;
+                       }
+                       return report.sequence > kFreshSequence;
                      });
 }
 
@@ -25,8 +29,9 @@
 }
 
 void UpstreamRegistry::Depart(const UpstreamReport& report) {
-  if (Departed(report)) return;
-  departures_.push_back({report.instance, report.started_ms});
+  const UpstreamDeparture departure{report.instance, report.started_ms};
+  if (std::find(departures_.begin(), departures_.end(), departure) != departures_.end()) return;
+  departures_.push_back(departure);
   if (departures_.size() > kMaxDepartures) departures_.pop_front();
 }
 
@@ -35,7 +40,8 @@
   report.instance = departure.instance;
   report.started_ms = departure.started_ms;
   Depart(report);
-  if (current_ && SameStart(*current_, report)) current_->state = UpstreamState::kDraining;
+  const bool serves = current_ && current_->state == UpstreamState::kReady;
+  if (serves && Departed(*current_)) current_->state = UpstreamState::kDraining;
 }
 
 UpstreamRegistry::Change UpstreamRegistry::Apply(ProxyTime now, const UpstreamReport& report) {
--- a/src/libsidecar/caller_connection.cc
+++ b/src/libsidecar/caller_connection.cc
@@ -144,13 +144,13 @@
       std::exchange(request_, CallerRequest()), [this, with_body](CallerResponse response) {
         call_ = 0;
         if (!with_body) response.body.clear();
-        Respond(std::move(response));
+        Respond(response);
       });
   // The response may have been given already.
   if (state_ == State::kCalling) call_ = call;
 }
 
-void CallerConnection::Respond(CallerResponse response) {
+void CallerConnection::Respond(const CallerResponse& response) {
   const bool close = !keep_alive_ || !owner_->keep_alive();
   AppendResponse(response.status, response.headers, response.body, true, close,
                  bufferevent_get_output(bufev_.get()));
--- a/src/libsidecar/caller_connection.h
+++ b/src/libsidecar/caller_connection.h
@@ -51,7 +51,7 @@
   void Parse();
   void RejectRequest(int status);
   void BeginCall();
-  void Respond(CallerResponse response);
+  void Respond(const CallerResponse& response);
   void CloseAfterWrite();
   void ArmTimer();
   void OnTimeout();
--- a/src/libsidecar/caller_listener.h
+++ b/src/libsidecar/caller_listener.h
@@ -28,6 +28,8 @@
   CallerListener& operator=(const CallerListener&) = delete;
 
   bool Start(const NetAddress& address, std::error_code* ec);
+  /// Closes each connection after its next response.
+  void StopKeepAlive() { keep_alive_ = false; }
   /// Takes no new connections, closes the idle ones, and each other one after the request that it
   /// is reading or has under way.
   void Stop();
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -256,8 +256,9 @@
   }
   call->placement.OnFailed(peer->node);
   if (!result.reached_upstream) {
-    // The peer's next status says when it takes calls again.
-    peer->status.ready = false;
+    // The peer's next status says when it takes calls again. One that stops still takes calls that
+    // end in time, until it says otherwise.
+    if (result.reason != ResultReason::kStopping) peer->status.ready = false;
     return Place(call);
   }
   RecordOutcome(peer, true);
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -105,7 +105,7 @@
   call.nested = offer.nested;
   const ProxyDuration max_wait = offer.max_wait;
   entry.offer = std::move(offer);
-  if (stopping_) return Refuse(id, ResultReason::kStopping);
+  if (stopping_ || entry.deadline > last_deadline_) return Refuse(id, ResultReason::kStopping);
   if (!registry_.Accepts(now, entry.offer.service, entry.offer.instance)) {
     return Refuse(id, ResultReason::kNoUpstream);
   }
--- a/src/libsidecar/local_upstream.h
+++ b/src/libsidecar/local_upstream.h
@@ -56,6 +56,8 @@
   /// The connection of these senders is lost: withdraws their waiting calls, and cancels running
   /// idempotent ones unless they are offered again within `kOrphanGrace`.
   void OnSourceClosed(Source source);
+  /// Refuses calls whose deadline is later, since they might be cut off.
+  void SetLastDeadline(ProxyTime last) { last_deadline_ = last; }
   /// Refuses everything new from now on; what was accepted still runs.
   void Stop();
 
@@ -104,6 +106,7 @@
   Timer expiry_timer_;
   Timer queue_timer_;
   bool stopping_ = false;
+  ProxyTime last_deadline_ = ProxyTime::max();
   bool was_ready_ = false;
   uint64_t next_key_ = 1;
   size_t retained_bytes_ = 0;
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -208,21 +208,25 @@
       .Add("calls", dispatcher_.active())
       .Add("upstream_calls", local_.active());
   stop_began_ = steady_clock::now();
+  local_.SetLastDeadline(end_of_stop());
   stop_timer_.StartOnce(kReadinessMissed);
 }
 
 void Sidecar::ContinueStop() {
-  const auto spent = steady_clock::now() - *stop_began_;
-  const bool idle = dispatcher_.active() == 0 && local_.active() == 0;
-  if (!caller_listener_.keep_alive() && (idle || spent >= settings_.grace - kStopMargin)) {
-    LogEvent(LogLevel::kInfo, "sidecar", "stopped")
-        .Add("cut_calls", dispatcher_.active())
-        .Add("cut_upstream_calls", local_.active());
-    event_base_loopbreak(base_);
-    return;
+  const auto now = steady_clock::now();
+  caller_listener_.StopKeepAlive();
+  if (now >= end_of_stop() - kFinishTime) {
+    caller_listener_.Stop();
+    local_.Stop();
+    const bool idle = dispatcher_.active() == 0 && local_.active() == 0;
+    if (idle || now >= end_of_stop()) {
+      LogEvent(LogLevel::kInfo, "sidecar", "stopped")
+          .Add("cut_calls", dispatcher_.active())
+          .Add("cut_upstream_calls", local_.active());
+      event_base_loopbreak(base_);
+      return;
+    }
   }
-  local_.Stop();
-  caller_listener_.Stop();
   stop_timer_.StartOnce(kStopPoll);
 }
 
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -28,8 +28,11 @@
   /// After this time from the start of a stop, callers have noticed that the sidecar is not ready:
   /// readiness is checked each second, and two misses take it out.
   static constexpr std::chrono::milliseconds kReadinessMissed{2200};
-  /// Kept before the end of the grace period for the last responses.
+  /// Kept at the end of the grace period, so that the process ends before it is killed.
   static constexpr std::chrono::milliseconds kStopMargin{500};
+  /// Time before the end in which nothing new is taken, for the last responses. Until then the
+  /// upstream stays in use: it can be reached only through this process.
+  static constexpr std::chrono::milliseconds kFinishTime{1500};
   static constexpr std::chrono::milliseconds kStopPoll{50};
 
   Sidecar(event_base* base, const SidecarSettings& settings, uint64_t incarnation);
@@ -54,6 +57,10 @@
   ControlResponse HandleMetrics(const ControlRequest& request);
   bool ready() const;
   void ContinueStop();
+  /// When this process ends at the latest. Precondition: `Stop` was called.
+  std::chrono::steady_clock::time_point end_of_stop() const {
+    return *stop_began_ + settings_.grace - kStopMargin;
+  }
 
   event_base* base_;
   SidecarSettings settings_;
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(PipelinedRequestsAreAnsweredInOrder);
   CPPUNIT_TEST(NewerConfigurationIsTakenAndAnInvalidOneIsNot);
   CPPUNIT_TEST(StopFinishesWhatRuns);
+  CPPUNIT_TEST(StoppingSidecarKeepsItsUpstreamInUse);
   CPPUNIT_TEST(MetricsTellOfRefusals);
   CPPUNIT_TEST(NestedCallIsKnownByItsParent);
   CPPUNIT_TEST(LargeResponsesSurviveChurnOnASlowLink);
@@ -435,6 +436,29 @@
     CPPUNIT_ASSERT(served > 8);
   }
 
+  // Guards against a server that no one can reach for the whole grace period, since its sidecar
+  // stops early, and against calls that are cut off at the end of it.
+  void StoppingSidecarKeepsItsUpstreamInUse() {
+    SidecarMesh mesh(2);
+    mesh.Report(1);
+    mesh.WaitUntilServing(0);
+    const auto start = std::chrono::steady_clock::now();
+    const auto since_start = [start] { return std::chrono::steady_clock::now() - start; };
+    mesh.at(1).sidecar->Stop();
+    int number = 0;
+    int served_late = 0;
+    while (since_start() < std::chrono::milliseconds(4800)) {
+      const int status =
+          StatusOf(mesh.Call(0, "POST", "/unsafe/x", "id-" + std::to_string(number++)));
+      CPPUNIT_ASSERT(status == 200 || status == 503);
+      // Two readiness checks have failed by then.
+      if (status == 200 && since_start() > std::chrono::milliseconds(3000)) ++served_late;
+      mesh.PumpFor(milliseconds(50));
+    }
+    CPPUNIT_ASSERT(served_late > 5);
+    CPPUNIT_ASSERT_EQUAL(503, StatusOf(mesh.Call(0, "POST", "/unsafe/x", "id-last")));
+  }
+
   // Guards against metrics that do not follow what callers get.
   void MetricsTellOfRefusals() {
     SidecarMesh mesh(1);
--- a/src/libsidecar/store_sync.cc
+++ b/src/libsidecar/store_sync.cc
@@ -49,10 +49,7 @@
 }
 
 StoreSync::StoreSync(event_base* base, const SidecarSettings& settings, Handlers handlers)
-    : base_(base),
-      settings_(settings),
-      handlers_(std::move(handlers)),
-      client_(base, settings.store) {
+    : handlers_(std::move(handlers)), client_(base, settings.store) {
   own_.node = settings.node;
   own_.address = settings.peer_listen.ToString();
   own_.data_centre = settings.data_centre;
@@ -145,10 +142,9 @@
 }
 
 void StoreSync::OnVersionSeen(uint64_t version) {
-  seen_version_ = std::max(seen_version_, version);
-  if (seen_version_ > version_ && !version_timer_->pending()) {
-    version_timer_->StartOnce(kVersionPatience);
-  }
+  if (version <= version_ || version_timer_->pending()) return;
+  seen_version_ = version;
+  version_timer_->StartOnce(kVersionPatience);
 }
 
 void StoreSync::CheckVersion() {
--- a/src/libsidecar/store_sync.h
+++ b/src/libsidecar/store_sync.h
@@ -102,8 +102,6 @@
   void Retry(Follower* follower, const char* what, std::error_code ec);
   void NoteContact(std::error_code ec);
 
-  event_base* base_;
-  const SidecarSettings& settings_;
   Handlers handlers_;
   platform::ObjectClient client_;
   SidecarEntry own_;
@@ -111,7 +109,7 @@
   Follower entries_;
   Follower write_;
   uint64_t version_ = 0;
-  /// Version that another sidecar was seen to run.
+  /// Version that another sidecar was seen to run when `version_timer_` was started.
   uint64_t seen_version_ = 0;
   std::unique_ptr<Timer> version_timer_;
   bool exists_ = false;
--- a/src/libsidecar/testing/sidecar_mesh.cc
+++ b/src/libsidecar/testing/sidecar_mesh.cc
@@ -16,7 +16,7 @@
   sockaddr_in name{};
   name.sin_family = AF_INET;
   inet_pton(AF_INET, ip.c_str(), &name.sin_addr);
-  bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name));
+  CPPUNIT_ASSERT_EQUAL(0, bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)));
   socklen_t size = sizeof(name);
   getsockname(fd, reinterpret_cast<sockaddr*>(&name), &size);
   close(fd);
