Sidecar: admit calls with large responses by the link that carries them

Sockets take more than the link has sent, so that ordering by drained buffers had little effect. Large responses of a slow link are now sent one after the other by time, at 0.9 of its rate; a call is refused when the link cannot deliver its response in time, and senders are told the wait for the link. Waiting results of cancelled calls are dropped. A response that takes longer than its objective even alone is served while the link is free. Ruled out: send buffers of 32 KB (no effect), libevent's rate limits (processor time).

--- a/include/camphorhoist/server_picker.h
+++ b/include/camphorhoist/server_picker.h
@@ -44,6 +44,8 @@
   static constexpr double kOtherZoneMicrosPerByte = 1.5;
   /// Time in which the occupancy is expected to return from the reported to the usual one.
   static constexpr ProxyDuration kReportLifetime{300000};
+  /// Responses from this size on wait for the link of the server's VM.
+  static constexpr size_t kLargeResponse = 32 << 10;
   /// Weight of a new report in the usual occupancy.
   static constexpr double kOccupancyGain = 0.2;
   /// Random part of the cost, as a share of the service time: keeps senders with equal reports from
--- a/include/camphorhoist/server_queue.h
+++ b/include/camphorhoist/server_queue.h
@@ -28,6 +28,11 @@
   int priority = 0;
   /// Made by a server while it runs another call, which waits for it.
   bool nested = false;
+  /// Time that the response waits for the link of the VM, and that it needs on it.
+  ProxyDuration delivery_wait{};
+  ProxyDuration delivery_time{};
+
+  ProxyDuration delivery() const { return delivery_wait + delivery_time; }
 };
 
 /// Occupancy of a server as its queue sees it.
@@ -39,6 +44,8 @@
   ProxyDuration service_time{};
   /// Wait that a call of ordinary rank offered now would have.
   ProxyDuration expected_wait{};
+  /// Wait of a large response for the link of the server's VM.
+  ProxyDuration delivery_wait{};
 };
 
 /// Admits, orders and withdraws the calls of one server. The sidecar beside a server is the only
@@ -120,6 +127,7 @@
   void Start(ProxyTime now, const PendingCall& call);
   ProxyDuration ExpectedWait(ProxyTime now, const PendingCall& call) const;
   ProxyTime LatestStart(const PendingCall& call) const;
+  bool LinkIsFull(ProxyTime now, const PendingCall& call) const;
   bool Late(ProxyTime now, const PendingCall& call) const;
   bool Displaced(ProxyTime now, const PendingCall& call, double timely_us) const;
   bool GoesBefore(ProxyTime now, const PendingCall& a, const PendingCall& b) const;
--- a/src/libproxy/call_placement_test.cc
+++ b/src/libproxy/call_placement_test.cc
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(NeverReturnsToAFailedServer);
   CPPUNIT_TEST(AvoidsServersThatFail);
   CPPUNIT_TEST(EqualServersShareTheCalls);
+  CPPUNIT_TEST(LargeResponsesAvoidFullLinks);
   CPPUNIT_TEST(RetryAfterFollowsTheQueue);
   CPPUNIT_TEST_SUITE_END();
 
@@ -131,6 +132,25 @@
     for (const int n : count) CPPUNIT_ASSERT(n > 50 && n < 150);
   }
 
+  // Guards against large responses that queue for one link while the link of another server is
+  // free.
+  void LargeResponsesAvoidFullLinks() {
+    std::mt19937_64 rng(1);
+    std::vector<ServerCandidate> candidates = {Candidate("full", "a", 0),
+                                               Candidate("free", "a", 2)};
+    candidates[0].load.delivery_wait = milliseconds(400);
+    int large_to_free = 0;
+    int small_to_free = 0;
+    for (int i = 0; i < 50; ++i) {
+      large_to_free +=
+          static_cast<int>(CallPlacement().Next(kNow, "a", 90000, candidates, &rng)->index);
+      small_to_free +=
+          static_cast<int>(CallPlacement().Next(kNow, "a", 900, candidates, &rng)->index);
+    }
+    CPPUNIT_ASSERT_EQUAL(50, large_to_free);
+    CPPUNIT_ASSERT(small_to_free < 50);
+  }
+
   // Guards against callers who return to the same queue at once, or after their deadline.
   void RetryAfterFollowsTheQueue() {
     CallPlacement placement;
--- a/src/libproxy/server_picker.cc
+++ b/src/libproxy/server_picker.cc
@@ -53,6 +53,7 @@
     ProxyDuration cost = ExpectedCompletion(now, it);
     cost += FromMicros(jitter(*rng) * static_cast<double>(it.load.service_time.count()));
     if (it.zone != zone) cost += other_zone;
+    if (response_bytes >= kLargeResponse) cost += it.load.delivery_wait;
     choices.push_back({i, cost});
   }
   const size_t best = std::min<size_t>(2, choices.size());
--- a/src/libproxy/server_queue.cc
+++ b/src/libproxy/server_queue.cc
@@ -21,7 +21,8 @@
 
 ProxyTime ServerQueue::LatestStart(const PendingCall& call) const {
   const ProxyDuration service = ExpectedServiceTime(call.profile);
-  return call.deadline - FromMicros(kMinUsefulShare * static_cast<double>(service.count()));
+  return call.deadline - call.delivery() -
+         FromMicros(kMinUsefulShare * static_cast<double>(service.count()));
 }
 
 bool ServerQueue::GoesBefore(ProxyTime now, const PendingCall& a, const PendingCall& b) const {
@@ -43,9 +44,23 @@
   return FromMicros(std::max(work_us, 0.0) / slots_);
 }
 
+// A call that would be late on a free link, too, takes the link from those that follow, and is
+// admitted only while the wait for the link is short.
+bool ServerQueue::LinkIsFull(ProxyTime now, const PendingCall& call) const {
+  if (call.delivery_wait.count() == 0) return false;
+  const double service = static_cast<double>(ExpectedServiceTime(call.profile).count());
+  const ProxyTime at_best = now + FromMicros(kPredictionMargin * service) + call.delivery_time;
+  if (at_best <= call.objective) return at_best + call.delivery_wait > call.objective;
+  const double left =
+      static_cast<double>(std::chrono::duration_cast<ProxyDuration>(call.deadline - now).count());
+  return static_cast<double>(call.delivery_wait.count()) > kMaxLateWaitShare * left;
+}
+
 ServerQueue::Admission ServerQueue::Offer(ProxyTime now, const PendingCall& call,
                                           ProxyDuration max_wait) {
-  if (now >= LatestStart(call)) return {Verdict::kHopeless, ProxyDuration(0)};
+  if (now >= LatestStart(call) || LinkIsFull(now, call)) {
+    return {Verdict::kHopeless, ProxyDuration(0)};
+  }
   if (running_.size() < slots_ && waiting_.empty()) {
     Start(now, call);
     return {Verdict::kStart, ProxyDuration(0)};
@@ -56,7 +71,7 @@
   }
   if (wait > max_wait) return {Verdict::kBusy, wait};
   const double expected = static_cast<double>((wait + ExpectedServiceTime(call.profile)).count());
-  const ProxyTime done = now + FromMicros(kPredictionMargin * expected);
+  const ProxyTime done = now + FromMicros(kPredictionMargin * expected) + call.delivery();
   if (now + wait > LatestStart(call) || (!Late(now, call) && done > call.objective)) {
     return {Verdict::kHopeless, wait};
   }
@@ -69,7 +84,7 @@
 }
 
 bool ServerQueue::Late(ProxyTime now, const PendingCall& call) const {
-  return now + ExpectedServiceTime(call.profile) > call.objective;
+  return now + ExpectedServiceTime(call.profile) + call.delivery() > call.objective;
 }
 
 // With enough waiting work that can still meet its objective, a late call would not be reached
--- a/src/libproxy/server_queue_test.cc
+++ b/src/libproxy/server_queue_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(TimelyCallsDisplaceLateOnes);
   CPPUNIT_TEST(DropsWhatTheDeadlineOverran);
   CPPUNIT_TEST(LearnsServiceTimes);
+  CPPUNIT_TEST(RefusesWhatTheLinkCannotDeliver);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -129,6 +130,35 @@
     CPPUNIT_ASSERT(!steps[0].start);
   }
 
+  // Guards against large responses that pile up behind a slow link until all of them are late.
+  void RefusesWhatTheLinkCannotDeliver() {
+    ServerQueue queue(4);
+    PendingCall call = Call(1, 600, 2000);
+    call.delivery_time = milliseconds(80);
+    call.delivery_wait = milliseconds(220);
+    CPPUNIT_ASSERT(queue.Offer(kStart, call, milliseconds(0)).verdict ==
+                   ServerQueue::Verdict::kStart);
+    call = Call(2, 600, 2000);
+    call.delivery_time = milliseconds(80);
+    call.delivery_wait = milliseconds(500);
+    CPPUNIT_ASSERT(queue.Offer(kStart, call, milliseconds(0)).verdict ==
+                   ServerQueue::Verdict::kHopeless);
+    // A response that takes longer than its objective even alone is served while the link is free.
+    call = Call(5, 600, 2000);
+    call.delivery_time = milliseconds(900);
+    CPPUNIT_ASSERT(queue.Offer(kStart, call, milliseconds(0)).verdict ==
+                   ServerQueue::Verdict::kStart);
+    // A call that is late anyway takes the link only while that is nearly free.
+    call = Call(3, 10, 2000);
+    call.delivery_wait = milliseconds(100);
+    CPPUNIT_ASSERT(queue.Offer(kStart, call, milliseconds(0)).verdict ==
+                   ServerQueue::Verdict::kStart);
+    call = Call(4, 10, 2000);
+    call.delivery_wait = milliseconds(500);
+    CPPUNIT_ASSERT(queue.Offer(kStart, call, milliseconds(0)).verdict ==
+                   ServerQueue::Verdict::kHopeless);
+  }
+
   // Guards against predictions that do not follow the speed of the server.
   void LearnsServiceTimes() {
     ServerQueue queue(1);
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -195,6 +195,7 @@
   offer.nested = call->nested;
   offer.idempotent = call->route.idempotent();
   offer.max_wait = max_wait;
+  offer.bulk = call->route.kind == RequestKind::kBulk;
   if (!peer->local()) return LinkOf(*call, peer)->Send(std::move(offer));
   local_->Offer(std::move(offer), 0,
                 [this](CallResult result) { local_results_.Post(std::move(result)); });
--- a/src/libsidecar/frame_stream.cc
+++ b/src/libsidecar/frame_stream.cc
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <sys/socket.h>
 
 #include <cerrno>
 #include <cstring>
@@ -18,8 +17,7 @@
       bufev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
   TuneSocket(fd, kSilence);
   bufferevent_set_max_single_read(bufev_.get(), kSocketReadBytes);
-  bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, &FrameStream::OnWritten,
-                    &FrameStream::OnEvent, this);
+  bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, nullptr, &FrameStream::OnEvent, this);
   bufferevent_enable(bufev_.get(), EV_READ | EV_WRITE);
 }
 
@@ -27,8 +25,7 @@
                          std::chrono::milliseconds timeout, Handlers handlers)
     : handlers_(std::move(handlers)),
       bufev_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)) {
-  bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, &FrameStream::OnWritten,
-                    &FrameStream::OnEvent, this);
+  bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, nullptr, &FrameStream::OnEvent, this);
   bufferevent_set_max_single_read(bufev_.get(), kSocketReadBytes);
   const timeval tv = ToTimeval(timeout);
   bufferevent_set_timeouts(bufev_.get(), nullptr, &tv);
@@ -46,15 +43,6 @@
   }
 }
 
-void FrameStream::LimitSendBuffer(int bytes) {
-  if (bufev_ == nullptr) return;
-  setsockopt(bufferevent_getfd(bufev_.get()), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
-}
-
-size_t FrameStream::pending() const {
-  return bufev_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(bufev_.get()));
-}
-
 void FrameStream::Close() { bufev_.reset(); }
 
 void FrameStream::Fail(const std::string& reason) {
@@ -76,11 +64,6 @@
   }
 }
 
-void FrameStream::OnWritten(bufferevent*, void* arg) {
-  auto* self = static_cast<FrameStream*>(arg);
-  if (self->handlers_.on_drained) self->handlers_.on_drained();
-}
-
 void FrameStream::OnEvent(bufferevent* bufev, short what,  // NOLINT(google-runtime-int): libevent
                           void* arg) {
   auto* self = static_cast<FrameStream*>(arg);
--- a/src/libsidecar/frame_stream.h
+++ b/src/libsidecar/frame_stream.h
@@ -22,8 +22,6 @@
     std::function<void(PeerMessage)> on_message;
     /// Last call. `reason` is text for the log.
     std::function<void(const std::string& reason)> on_closed;
-    /// All bytes were taken by the socket. Optional.
-    std::function<void()> on_drained;
   };
   /// Unacknowledged data for longer means that the peer or the path is gone.
   static constexpr std::chrono::milliseconds kSilence{1000};
@@ -41,15 +39,10 @@
   void Send(PeerMessage message);
   /// Closes without a further call of a handler.
   void Close();
-  /// Bounds what the kernel holds of unsent bytes, so that `pending` follows the network.
-  void LimitSendBuffer(int bytes);
-  /// Bytes that wait for the socket.
-  size_t pending() const;
   bool open() const { return bufev_ != nullptr; }
 
  private:
   static void OnRead(bufferevent* bufev, void* arg);
-  static void OnWritten(bufferevent* bufev, void* arg);
   static void OnEvent(bufferevent* bufev, short what,  // NOLINT(google-runtime-int): libevent
                       void* arg);
   void Fail(const std::string& reason);
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -48,6 +48,28 @@
   on_status_();
 }
 
+void LocalUpstream::SetEgress(size_t bytes_per_second, std::function<size_t()> backlog) {
+  egress_rate_ = bytes_per_second;
+  egress_backlog_ = std::move(backlog);
+}
+
+ProxyDuration LocalUpstream::LinkTime(double bytes) const {
+  const double seconds = bytes / (kEgressShare * static_cast<double>(egress_rate_));
+  return duration_cast<ProxyDuration>(std::chrono::duration<double>(seconds));
+}
+
+ProxyDuration LocalUpstream::DeliveryWait() const {
+  if (egress_rate_ == 0) return ProxyDuration(0);
+  return LinkTime(static_cast<double>(egress_backlog_()) +
+                  static_cast<double>(bulk_active_) * bulk_bytes_);
+}
+
+ServerLoad LocalUpstream::load() const {
+  ServerLoad load = queue_.load(steady_clock::now());
+  load.delivery_wait = DeliveryWait();
+  return load;
+}
+
 UpstreamStatus LocalUpstream::status() const {
   UpstreamStatus status;
   const auto now = steady_clock::now();
@@ -57,7 +79,7 @@
   }
   status.ready = !stopping_ && registry_.ready(now);
   status.warm_up = registry_.warm_up_left(now);
-  status.load = queue_.load(now);
+  status.load = load();
   return status;
 }
 
@@ -84,7 +106,7 @@
     Entry& entry = known->second;
     entry.source = source;
     if (entry.state == State::kDone) {
-      entry.result.load = queue_.load(now);
+      entry.result.load = load();
       return reply(entry.result);
     }
     entry.reply = std::move(reply);
@@ -110,6 +132,12 @@
     return Refuse(id, ResultReason::kNoUpstream);
   }
   by_key_[entry.key] = id;
+  entry.bulk = entry.offer.bulk && source != 0 && egress_rate_ != 0;
+  if (entry.bulk) {
+    call.delivery_wait = DeliveryWait();
+    call.delivery_time = LinkTime(bulk_bytes_);
+    ++bulk_active_;
+  }
   const ServerQueue::Admission admission = queue_.Offer(now, call, max_wait);
   switch (admission.verdict) {
     case ServerQueue::Verdict::kStart:
@@ -202,9 +230,16 @@
   const auto running = running_ids_.find(entry->request_id);
   if (entry->state == State::kRunning && running != running_ids_.end()) running_ids_.erase(running);
   entry->state = State::kDone;
+  if (std::exchange(entry->bulk, false)) {
+    --bulk_active_;
+    const auto size = static_cast<double>(result.body.size());
+    if (result.kind == ResultKind::kResponse) {
+      bulk_bytes_ += (bulk_bytes_ == 0 ? 1 : kBulkSizeGain) * (size - bulk_bytes_);
+    }
+  }
   entry->timer.reset();
   entry->offer = CallOffer();
-  result.load = queue_.load(now);
+  result.load = load();
   const Reply reply = std::move(entry->reply);
   entry->reply = nullptr;
   // An idempotent call may run again instead.
--- a/src/libsidecar/local_upstream.h
+++ b/src/libsidecar/local_upstream.h
@@ -37,12 +37,20 @@
   static constexpr size_t kMaxRetainedBytes = 4 << 20;
   /// Time that the upstream has beyond the deadline, since it answers at the deadline itself.
   static constexpr std::chrono::milliseconds kResponseSlack{150};
+  /// Share of the link that large responses get.
+  static constexpr double kEgressShare = 0.9;
+  /// Weight of a new observation in the mean size of large responses.
+  static constexpr double kBulkSizeGain = 0.05;
   /// Slots assumed until the upstream has told its own.
   static constexpr uint32_t kInitialSlots = 1;
 
   /// `on_status` is called when the upstream starts or stops taking calls.
   LocalUpstream(event_base* base, const SidecarSettings& settings, std::function<void()> on_status);
 
+  /// Large responses share a link of `bytes_per_second`; `backlog` tells how many of their bytes
+  /// wait for it. Calls are then admitted by the time to deliver their response, too.
+  void SetEgress(size_t bytes_per_second, std::function<size_t()> backlog);
+
   /// Takes a report of the upstream. Returns what it changed.
   UpstreamRegistry::Change Apply(const UpstreamReport& report);
   void Restore(const UpstreamDeparture& departure) { registry_.Restore(departure); }
@@ -66,7 +74,7 @@
   bool RunsParentOf(const std::string& request_id) const;
 
   UpstreamStatus status() const;
-  ServerLoad load() const { return queue_.load(std::chrono::steady_clock::now()); }
+  ServerLoad load() const;
   /// Calls that wait or run.
   size_t active() const { return queue_.running() + queue_.queued(); }
   uint64_t connections_opened() const { return pool_.connections_opened(); }
@@ -83,6 +91,8 @@
     uint64_t key = 0;
     std::string request_id;
     bool idempotent = false;
+    /// A large response is expected, by the link.
+    bool bulk = false;
     UpstreamPool::Handle handle = 0;
     std::unique_ptr<Timer> timer;
     CallResult result;
@@ -97,6 +107,10 @@
   void ForgetOld();
   CallResult NewResult(const CallId& id, ResultKind kind, ResultReason reason) const;
   void NotifyIfChanged();
+  /// Time that large responses, those to come included, keep the link busy.
+  ProxyDuration DeliveryWait() const;
+  /// Time that the link needs for this many bytes of large responses.
+  ProxyDuration LinkTime(double bytes) const;
 
   event_base* base_;
   std::function<void()> on_status_;
@@ -105,6 +119,11 @@
   UpstreamPool pool_;
   Timer expiry_timer_;
   Timer queue_timer_;
+  size_t egress_rate_ = 0;
+  std::function<size_t()> egress_backlog_;
+  /// Large responses that are expected from waiting and running calls, and their mean size.
+  size_t bulk_active_ = 0;
+  double bulk_bytes_ = 0;
   bool stopping_ = false;
   ProxyTime last_deadline_ = ProxyTime::max();
   bool was_ready_ = false;
--- a/src/libsidecar/peer.capnp
+++ b/src/libsidecar/peer.capnp
@@ -19,6 +19,8 @@
   limit @2 :UInt16;
   serviceMicros @3 :UInt32;
   waitMicros @4 :UInt32;
+  # Wait of a large response for the link.
+  deliveryMicros @5 :UInt32;
 }
 
 # Upstream beside a sidecar.
@@ -66,6 +68,8 @@
   idempotent @13 :Bool;
   # Longest predicted wait that the sender accepts.
   maxWaitMicros @14 :UInt32;
+  # A large response is expected.
+  bulk @15 :Bool;
 }
 
 # The body follows the frame's message.
--- a/src/libsidecar/peer.capnp.h
+++ b/src/libsidecar/peer.capnp.h
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cbe093b83c6a55dc, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(cbe093b83c6a55dc, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -361,6 +361,8 @@
 
   inline  ::uint32_t getWaitMicros() const;
 
+  inline  ::uint32_t getDeliveryMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -404,6 +406,9 @@
   inline  ::uint32_t getWaitMicros();
   inline void setWaitMicros( ::uint32_t value);
 
+  inline  ::uint32_t getDeliveryMicros();
+  inline void setDeliveryMicros( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -724,6 +729,8 @@
 
   inline  ::uint32_t getMaxWaitMicros() const;
 
+  inline bool getBulk() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -829,6 +836,9 @@
   inline  ::uint32_t getMaxWaitMicros();
   inline void setMaxWaitMicros( ::uint32_t value);
 
+  inline bool getBulk();
+  inline void setBulk(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1299,6 +1309,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t Load::Reader::getDeliveryMicros() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getDeliveryMicros() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setDeliveryMicros( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Upstream::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1992,6 +2016,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Offer::Reader::getBulk() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+}
+
+inline bool Offer::Builder::getBulk() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setBulk(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Result::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/libsidecar/peer_listener.cc
+++ b/src/libsidecar/peer_listener.cc
@@ -11,6 +11,8 @@
 
 namespace camphorhoist {
 
+using std::chrono::steady_clock;
+
 ListenerPtr Listen(event_base* base, const NetAddress& address, evconnlistener_cb on_accept,
                    void* arg, std::error_code* ec) {
   constexpr int kBacklog = 512;
@@ -31,6 +33,7 @@
       upstream_(upstream),
       link_(link),
       handlers_(std::move(handlers)),
+      bulk_timer_(base, [this] { SendBulk(); }),
       cleanup_(base, [this] { closed_.clear(); }) {}
 
 bool PeerListener::Start(const NetAddress& address, std::error_code* ec) {
@@ -49,7 +52,6 @@
     OnMessage(source, std::move(message));
   };
   handlers.on_closed = [this, source](const std::string&) { OnClosed(source); };
-  handlers.on_drained = [this, source] { OnDrained(source); };
   streams_.emplace(source, std::make_unique<FrameStream>(base_, fd, std::move(handlers)));
 }
 
@@ -59,16 +61,18 @@
       Reply(source, std::move(result));
     });
   }
-  if (const auto* cancel = std::get_if<CallCancel>(&message)) return upstream_->Cancel(cancel->id);
+  if (const auto* cancel = std::get_if<CallCancel>(&message)) {
+    const auto of_call = [cancel](const auto& waiting) { return waiting.second.id == cancel->id; };
+    bulk_waiting_.erase(std::remove_if(bulk_waiting_.begin(), bulk_waiting_.end(), of_call),
+                        bulk_waiting_.end());
+    return upstream_->Cancel(cancel->id);
+  }
   if (const auto* ping = std::get_if<PeerPing>(&message)) {
     return streams_.at(source)->Send(PeerPong{ping->number});
   }
   if (const auto* hello = std::get_if<PeerHello>(&message)) {
     FrameStream* stream = streams_.at(source).get();
-    if (hello->bulk && link_ < kMaxOrderedLink) {
-      stream->LimitSendBuffer(kBulkSendBuffer);
-      bulk_sources_.insert(source);
-    }
+    if (hello->bulk && orders_bulk()) bulk_sources_.insert(source);
     stream->Send(handlers_.hello());
     handlers_.on_hello(*hello);
   }
@@ -83,24 +87,27 @@
   SendBulk();
 }
 
-// A connection sends one large response at a time, all together at most `kBulkInFlight`.
 void PeerListener::SendBulk() {
-  for (auto it = bulk_waiting_.begin();
-       it != bulk_waiting_.end() && bulk_sending_.size() < kBulkInFlight;) {
-    const uint64_t source = it->first;
-    if (bulk_sending_.count(source) != 0) {
-      ++it;
-      continue;
-    }
-    bulk_sending_.insert(source);
-    CallResult result = std::move(it->second);
-    it = bulk_waiting_.erase(it);
+  const auto now = steady_clock::now();
+  while (!bulk_waiting_.empty() && bulk_free_ <= now) {
+    const uint64_t source = bulk_waiting_.front().first;
+    CallResult result = std::move(bulk_waiting_.front().second);
+    bulk_waiting_.pop_front();
+    const std::chrono::duration<double> time(static_cast<double>(result.body.size()) /
+                                             (kBulkShare * static_cast<double>(link_)));
+    bulk_free_ = now + std::chrono::duration_cast<steady_clock::duration>(time);
     streams_.at(source)->Send(std::move(result));
   }
+  if (bulk_waiting_.empty() || bulk_timer_.pending()) return;
+  bulk_timer_.StartOnce(std::chrono::duration_cast<std::chrono::microseconds>(bulk_free_ - now));
 }
 
-void PeerListener::OnDrained(uint64_t source) {
-  if (bulk_sending_.erase(source) != 0) SendBulk();
+size_t PeerListener::bulk_backlog() const {
+  size_t bytes = 0;
+  for (const auto& it : bulk_waiting_) bytes += it.second.body.size();
+  const std::chrono::duration<double> busy = bulk_free_ - steady_clock::now();
+  if (busy.count() > 0) bytes += static_cast<size_t>(busy.count() * static_cast<double>(link_));
+  return bytes;
 }
 
 void PeerListener::OnClosed(uint64_t source) {
@@ -113,7 +120,6 @@
   const auto from_source = [source](const auto& waiting) { return waiting.first == source; };
   bulk_waiting_.erase(std::remove_if(bulk_waiting_.begin(), bulk_waiting_.end(), from_source),
                       bulk_waiting_.end());
-  if (bulk_sending_.erase(source) != 0) SendBulk();
   upstream_->OnSourceClosed(source);
 }
 
--- a/src/libsidecar/peer_listener.h
+++ b/src/libsidecar/peer_listener.h
@@ -39,11 +39,10 @@
     std::function<uint64_t()> config_version;
   };
 
-  /// Large responses that are sent at the same time. More would fill the queue of a slow link, and
-  /// short messages would wait behind them.
-  static constexpr size_t kBulkInFlight = 2;
-  /// Unsent bytes of a connection with large responses that the kernel holds.
-  static constexpr int kBulkSendBuffer = 32 << 10;
+  /// Share of a slow link that large responses take. They are sent one after the other at this
+  /// rate, since more at once would fill the queue of the link, and short messages would wait
+  /// behind them. The time is used, as sockets take more than the link has sent.
+  static constexpr double kBulkShare = 0.9;
   /// Faster links carry a large response in a few milliseconds and need no order.
   static constexpr size_t kMaxOrderedLink = 40 << 20;
 
@@ -52,6 +51,9 @@
   PeerListener(event_base* base, LocalUpstream* upstream, size_t link, Handlers handlers);
 
   bool Start(const NetAddress& address, std::error_code* ec);
+  /// Bytes of large responses that wait for the link.
+  size_t bulk_backlog() const;
+  bool orders_bulk() const { return link_ < kMaxOrderedLink; }
   /// Tells all connected sidecars of a change of the upstream.
   void Announce(const UpstreamStatus& status);
 
@@ -62,17 +64,18 @@
   void OnClosed(uint64_t source);
   void Reply(uint64_t source, CallResult result);
   void SendBulk();
-  void OnDrained(uint64_t source);
 
   event_base* base_;
   LocalUpstream* upstream_;
   size_t link_;
   Handlers handlers_;
   ListenerPtr listener_;
-  /// Connections with large responses, and those that one is being sent on.
+  /// Connections with large responses, and the responses that wait for the link.
   std::set<uint64_t> bulk_sources_;
-  std::set<uint64_t> bulk_sending_;
   std::deque<std::pair<uint64_t, CallResult>> bulk_waiting_;
+  /// When the link has sent the last large response.
+  std::chrono::steady_clock::time_point bulk_free_;
+  Timer bulk_timer_;
   uint64_t next_source_ = 1;
   std::map<uint64_t, std::unique_ptr<FrameStream>> streams_;
   /// Streams that were closed from inside their own handler.
--- a/src/libsidecar/peer_messages.cc
+++ b/src/libsidecar/peer_messages.cc
@@ -61,6 +61,7 @@
   out.setLimit(ClampCount(load.limit));
   out.setServiceMicros(ClampMicros(load.service_time));
   out.setWaitMicros(ClampMicros(load.expected_wait));
+  out.setDeliveryMicros(ClampMicros(load.delivery_wait));
 }
 ServerLoad Read(peer::Load::Reader in) {
   ServerLoad load;
@@ -69,6 +70,7 @@
   load.limit = in.getLimit();
   load.service_time = ProxyDuration(in.getServiceMicros());
   load.expected_wait = ProxyDuration(in.getWaitMicros());
+  load.delivery_wait = ProxyDuration(in.getDeliveryMicros());
   return load;
 }
 
@@ -128,6 +130,7 @@
   out.setNested(offer.nested);
   out.setIdempotent(offer.idempotent);
   out.setMaxWaitMicros(ClampMicros(offer.max_wait));
+  out.setBulk(offer.bulk);
 }
 CallOffer Read(peer::Offer::Reader in) {
   CallOffer offer;
@@ -146,6 +149,7 @@
   offer.nested = in.getNested();
   offer.idempotent = in.getIdempotent();
   offer.max_wait = ProxyDuration(in.getMaxWaitMicros());
+  offer.bulk = in.getBulk();
   return offer;
 }
 
--- a/src/libsidecar/peer_messages.h
+++ b/src/libsidecar/peer_messages.h
@@ -62,6 +62,8 @@
   bool idempotent = false;
   /// Longest predicted wait that the sender accepts.
   ProxyDuration max_wait{};
+  /// A large response is expected.
+  bool bulk = false;
 };
 
 enum class ResultKind : uint8_t {
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -69,6 +69,10 @@
                 store_.SetDepartures({departures.begin(), departures.end()});
               }}),
       stop_timer_(base, [this] { ContinueStop(); }) {
+  if (peer_listener_.orders_bulk()) {
+    local_.SetEgress(settings_.link_bytes_per_second,
+                     [this] { return peer_listener_.bulk_backlog(); });
+  }
   directory_.AddSelf(settings_.node, settings_.data_centre);
 }
 
