--- a/include/camphorhoist/sidecar_settings.h
+++ b/include/camphorhoist/sidecar_settings.h
@@ -31,15 +31,10 @@
   NetAddress peer_listen;
   std::optional<NetAddress> metrics_listen;
   NetAddress store;
-  size_t store_value_bytes = 0;
   std::chrono::microseconds announce_interval{};
   /// Time from SIGTERM until the process is killed.
   std::chrono::microseconds grace{};
-  /// Time after which an upstream that leaves must not get requests any more.
-  std::chrono::microseconds drain{};
   RetryBudgetOptions retry_budget;
-  size_t memory_bytes = 0;
-  size_t max_descriptors = 0;
   /// Rate of the VM's link.
   size_t link_bytes_per_second = 0;
 };
