--- a/src/libsidecar/peer.capnp.h
+++ b/src/libsidecar/peer.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error \
+    "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -40,9 +40,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(d0edff050c628c0a, 0, 2)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -55,9 +55,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(c390d17175013f7e, 2, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -70,9 +70,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(cbe093b83c6a55dc, 3, 0)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -85,9 +85,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e18b6ffe674fd1f9, 1, 3)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -100,9 +100,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(87b18b55251da988, 3, 4)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -115,9 +115,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a55eb2e64aa6c1cb, 4, 8)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -130,9 +130,9 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(af9faef0ddf7d986, 2, 3)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
@@ -142,7 +142,7 @@
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which: uint16_t {
+  enum Which : uint16_t {
     HELLO,
     OFFER,
     RESULT,
@@ -154,24 +154,22 @@
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a52fb5302feccdac, 2, 1)
-    #if !CAPNP_LITE
+#if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
+#endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
 class Header::Reader {
-public:
+ public:
   typedef Header Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -180,12 +178,12 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName() const;
-  inline  ::capnp::Text::Reader getName() const;
+  inline ::capnp::Text::Reader getName() const;
 
   inline bool hasValue() const;
-  inline  ::capnp::Text::Reader getValue() const;
+  inline ::capnp::Text::Reader getValue() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -198,13 +196,13 @@
 };
 
 class Header::Builder {
-public:
+ public:
   typedef Header Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -214,20 +212,20 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasName();
-  inline  ::capnp::Text::Builder getName();
-  inline void setName( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initName(unsigned int size);
-  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownName();
+  inline ::capnp::Text::Builder getName();
+  inline void setName(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownName();
 
   inline bool hasValue();
-  inline  ::capnp::Text::Builder getValue();
-  inline void setValue( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+  inline ::capnp::Text::Builder getValue();
+  inline void setValue(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownValue();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -238,14 +236,14 @@
 
 #if !CAPNP_LITE
 class Header::Pipeline {
-public:
+ public:
   typedef Header Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -254,15 +252,13 @@
 #endif  // !CAPNP_LITE
 
 class CallId::Reader {
-public:
+ public:
   typedef CallId Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -270,11 +266,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getOrigin() const;
+  inline ::uint64_t getOrigin() const;
 
-  inline  ::uint64_t getCounter() const;
+  inline ::uint64_t getCounter() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -287,13 +283,13 @@
 };
 
 class CallId::Builder {
-public:
+ public:
   typedef CallId Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -302,13 +298,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getOrigin();
-  inline void setOrigin( ::uint64_t value);
+  inline ::uint64_t getOrigin();
+  inline void setOrigin(::uint64_t value);
 
-  inline  ::uint64_t getCounter();
-  inline void setCounter( ::uint64_t value);
+  inline ::uint64_t getCounter();
+  inline void setCounter(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -319,14 +315,14 @@
 
 #if !CAPNP_LITE
 class CallId::Pipeline {
-public:
+ public:
   typedef CallId Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -335,15 +331,13 @@
 #endif  // !CAPNP_LITE
 
 class Load::Reader {
-public:
+ public:
   typedef Load Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -351,19 +345,19 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getRunning() const;
+  inline ::uint16_t getRunning() const;
 
-  inline  ::uint16_t getQueued() const;
+  inline ::uint16_t getQueued() const;
 
-  inline  ::uint16_t getLimit() const;
+  inline ::uint16_t getLimit() const;
 
-  inline  ::uint32_t getServiceMicros() const;
+  inline ::uint32_t getServiceMicros() const;
 
-  inline  ::uint32_t getWaitMicros() const;
+  inline ::uint32_t getWaitMicros() const;
 
-  inline  ::uint32_t getDeliveryMicros() const;
+  inline ::uint32_t getDeliveryMicros() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -376,13 +370,13 @@
 };
 
 class Load::Builder {
-public:
+ public:
   typedef Load Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -391,25 +385,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getRunning();
-  inline void setRunning( ::uint16_t value);
+  inline ::uint16_t getRunning();
+  inline void setRunning(::uint16_t value);
 
-  inline  ::uint16_t getQueued();
-  inline void setQueued( ::uint16_t value);
+  inline ::uint16_t getQueued();
+  inline void setQueued(::uint16_t value);
 
-  inline  ::uint16_t getLimit();
-  inline void setLimit( ::uint16_t value);
+  inline ::uint16_t getLimit();
+  inline void setLimit(::uint16_t value);
 
-  inline  ::uint32_t getServiceMicros();
-  inline void setServiceMicros( ::uint32_t value);
+  inline ::uint32_t getServiceMicros();
+  inline void setServiceMicros(::uint32_t value);
 
-  inline  ::uint32_t getWaitMicros();
-  inline void setWaitMicros( ::uint32_t value);
+  inline ::uint32_t getWaitMicros();
+  inline void setWaitMicros(::uint32_t value);
 
-  inline  ::uint32_t getDeliveryMicros();
-  inline void setDeliveryMicros( ::uint32_t value);
+  inline ::uint32_t getDeliveryMicros();
+  inline void setDeliveryMicros(::uint32_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -420,14 +414,14 @@
 
 #if !CAPNP_LITE
 class Load::Pipeline {
-public:
+ public:
   typedef Load Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -436,15 +430,13 @@
 #endif  // !CAPNP_LITE
 
 class Upstream::Reader {
-public:
+ public:
   typedef Upstream Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -453,19 +445,19 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline ::capnp::Text::Reader getService() const;
 
   inline bool hasInstance() const;
-  inline  ::capnp::Text::Reader getInstance() const;
+  inline ::capnp::Text::Reader getInstance() const;
 
   inline bool getReady() const;
 
-  inline  ::uint32_t getWarmUpMicros() const;
+  inline ::uint32_t getWarmUpMicros() const;
 
   inline bool hasLoad() const;
-  inline  ::camphorhoist::peer::Load::Reader getLoad() const;
+  inline ::camphorhoist::peer::Load::Reader getLoad() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -478,13 +470,13 @@
 };
 
 class Upstream::Builder {
-public:
+ public:
   typedef Upstream Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -494,33 +486,33 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
   inline bool hasInstance();
-  inline  ::capnp::Text::Builder getInstance();
-  inline void setInstance( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initInstance(unsigned int size);
-  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+  inline ::capnp::Text::Builder getInstance();
+  inline void setInstance(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownInstance();
 
   inline bool getReady();
   inline void setReady(bool value);
 
-  inline  ::uint32_t getWarmUpMicros();
-  inline void setWarmUpMicros( ::uint32_t value);
+  inline ::uint32_t getWarmUpMicros();
+  inline void setWarmUpMicros(::uint32_t value);
 
   inline bool hasLoad();
-  inline  ::camphorhoist::peer::Load::Builder getLoad();
-  inline void setLoad( ::camphorhoist::peer::Load::Reader value);
-  inline  ::camphorhoist::peer::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::camphorhoist::peer::Load>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::Load> disownLoad();
+  inline ::camphorhoist::peer::Load::Builder getLoad();
+  inline void setLoad(::camphorhoist::peer::Load::Reader value);
+  inline ::camphorhoist::peer::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan<::camphorhoist::peer::Load>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Load> disownLoad();
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -531,15 +523,16 @@
 
 #if !CAPNP_LITE
 class Upstream::Pipeline {
-public:
+ public:
   typedef Upstream Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::peer::Load::Pipeline getLoad();
-private:
+  inline ::camphorhoist::peer::Load::Pipeline getLoad();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -548,15 +541,13 @@
 #endif  // !CAPNP_LITE
 
 class Hello::Reader {
-public:
+ public:
   typedef Hello Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -565,24 +556,24 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasNode() const;
-  inline  ::capnp::Text::Reader getNode() const;
+  inline ::capnp::Text::Reader getNode() const;
 
-  inline  ::uint64_t getIncarnation() const;
+  inline ::uint64_t getIncarnation() const;
 
   inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline ::capnp::Text::Reader getDataCentre() const;
 
   inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline ::capnp::Text::Reader getAddress() const;
 
-  inline  ::uint64_t getConfigVersion() const;
+  inline ::uint64_t getConfigVersion() const;
 
   inline bool hasUpstream() const;
-  inline  ::camphorhoist::peer::Upstream::Reader getUpstream() const;
+  inline ::camphorhoist::peer::Upstream::Reader getUpstream() const;
 
   inline bool getBulk() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -595,13 +586,13 @@
 };
 
 class Hello::Builder {
-public:
+ public:
   typedef Hello Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -611,43 +602,43 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasNode();
-  inline  ::capnp::Text::Builder getNode();
-  inline void setNode( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNode(unsigned int size);
-  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+  inline ::capnp::Text::Builder getNode();
+  inline void setNode(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownNode();
 
-  inline  ::uint64_t getIncarnation();
-  inline void setIncarnation( ::uint64_t value);
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
   inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+  inline ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
 
   inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline ::capnp::Text::Builder getAddress();
+  inline void setAddress(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownAddress();
 
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
+  inline ::uint64_t getConfigVersion();
+  inline void setConfigVersion(::uint64_t value);
 
   inline bool hasUpstream();
-  inline  ::camphorhoist::peer::Upstream::Builder getUpstream();
-  inline void setUpstream( ::camphorhoist::peer::Upstream::Reader value);
-  inline  ::camphorhoist::peer::Upstream::Builder initUpstream();
-  inline void adoptUpstream(::capnp::Orphan< ::camphorhoist::peer::Upstream>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::Upstream> disownUpstream();
+  inline ::camphorhoist::peer::Upstream::Builder getUpstream();
+  inline void setUpstream(::camphorhoist::peer::Upstream::Reader value);
+  inline ::camphorhoist::peer::Upstream::Builder initUpstream();
+  inline void adoptUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Upstream> disownUpstream();
 
   inline bool getBulk();
   inline void setBulk(bool value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -658,15 +649,16 @@
 
 #if !CAPNP_LITE
 class Hello::Pipeline {
-public:
+ public:
   typedef Hello Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::peer::Upstream::Pipeline getUpstream();
-private:
+  inline ::camphorhoist::peer::Upstream::Pipeline getUpstream();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -675,15 +667,13 @@
 #endif  // !CAPNP_LITE
 
 class Offer::Reader {
-public:
+ public:
   typedef Offer Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -692,46 +682,47 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::camphorhoist::peer::CallId::Reader getId() const;
+  inline ::camphorhoist::peer::CallId::Reader getId() const;
 
   inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
+  inline ::capnp::Text::Reader getService() const;
 
   inline bool hasInstance() const;
-  inline  ::capnp::Text::Reader getInstance() const;
+  inline ::capnp::Text::Reader getInstance() const;
 
   inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
+  inline ::capnp::Text::Reader getRequestId() const;
 
   inline bool hasMethod() const;
-  inline  ::capnp::Text::Reader getMethod() const;
+  inline ::capnp::Text::Reader getMethod() const;
 
   inline bool hasTarget() const;
-  inline  ::capnp::Text::Reader getTarget() const;
+  inline ::capnp::Text::Reader getTarget() const;
 
   inline bool hasHeaders() const;
-  inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+      const;
 
   inline bool hasOriginService() const;
-  inline  ::capnp::Text::Reader getOriginService() const;
+  inline ::capnp::Text::Reader getOriginService() const;
 
-  inline  ::uint32_t getTimeLeftMicros() const;
+  inline ::uint32_t getTimeLeftMicros() const;
 
-  inline  ::int32_t getObjectiveLeftMicros() const;
+  inline ::int32_t getObjectiveLeftMicros() const;
 
-  inline  ::uint64_t getProfile() const;
+  inline ::uint64_t getProfile() const;
 
-  inline  ::int32_t getPriority() const;
+  inline ::int32_t getPriority() const;
 
   inline bool getNested() const;
 
   inline bool getIdempotent() const;
 
-  inline  ::uint32_t getMaxWaitMicros() const;
+  inline ::uint32_t getMaxWaitMicros() const;
 
   inline bool getBulk() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -744,13 +735,13 @@
 };
 
 class Offer::Builder {
-public:
+ public:
   typedef Offer Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -760,72 +751,76 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline  ::camphorhoist::peer::CallId::Builder getId();
-  inline void setId( ::camphorhoist::peer::CallId::Reader value);
-  inline  ::camphorhoist::peer::CallId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::camphorhoist::peer::CallId>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::CallId> disownId();
+  inline ::camphorhoist::peer::CallId::Builder getId();
+  inline void setId(::camphorhoist::peer::CallId::Reader value);
+  inline ::camphorhoist::peer::CallId::Builder initId();
+  inline void adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownId();
 
   inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
   inline bool hasInstance();
-  inline  ::capnp::Text::Builder getInstance();
-  inline void setInstance( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initInstance(unsigned int size);
-  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+  inline ::capnp::Text::Builder getInstance();
+  inline void setInstance(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownInstance();
 
   inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline ::capnp::Text::Builder getRequestId();
+  inline void setRequestId(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRequestId();
 
   inline bool hasMethod();
-  inline  ::capnp::Text::Builder getMethod();
-  inline void setMethod( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+  inline ::capnp::Text::Builder getMethod();
+  inline void setMethod(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownMethod();
 
   inline bool hasTarget();
-  inline  ::capnp::Text::Builder getTarget();
-  inline void setTarget( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+  inline ::capnp::Text::Builder getTarget();
+  inline void setTarget(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownTarget();
 
   inline bool hasHeaders();
-  inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
+      unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
 
   inline bool hasOriginService();
-  inline  ::capnp::Text::Builder getOriginService();
-  inline void setOriginService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initOriginService(unsigned int size);
-  inline void adoptOriginService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownOriginService();
+  inline ::capnp::Text::Builder getOriginService();
+  inline void setOriginService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initOriginService(unsigned int size);
+  inline void adoptOriginService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownOriginService();
 
-  inline  ::uint32_t getTimeLeftMicros();
-  inline void setTimeLeftMicros( ::uint32_t value);
+  inline ::uint32_t getTimeLeftMicros();
+  inline void setTimeLeftMicros(::uint32_t value);
 
-  inline  ::int32_t getObjectiveLeftMicros();
-  inline void setObjectiveLeftMicros( ::int32_t value);
+  inline ::int32_t getObjectiveLeftMicros();
+  inline void setObjectiveLeftMicros(::int32_t value);
 
-  inline  ::uint64_t getProfile();
-  inline void setProfile( ::uint64_t value);
+  inline ::uint64_t getProfile();
+  inline void setProfile(::uint64_t value);
 
-  inline  ::int32_t getPriority();
-  inline void setPriority( ::int32_t value);
+  inline ::int32_t getPriority();
+  inline void setPriority(::int32_t value);
 
   inline bool getNested();
   inline void setNested(bool value);
@@ -833,13 +828,13 @@
   inline bool getIdempotent();
   inline void setIdempotent(bool value);
 
-  inline  ::uint32_t getMaxWaitMicros();
-  inline void setMaxWaitMicros( ::uint32_t value);
+  inline ::uint32_t getMaxWaitMicros();
+  inline void setMaxWaitMicros(::uint32_t value);
 
   inline bool getBulk();
   inline void setBulk(bool value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -850,15 +845,16 @@
 
 #if !CAPNP_LITE
 class Offer::Pipeline {
-public:
+ public:
   typedef Offer Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::peer::CallId::Pipeline getId();
-private:
+  inline ::camphorhoist::peer::CallId::Pipeline getId();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -867,15 +863,13 @@
 #endif  // !CAPNP_LITE
 
 class Result::Reader {
-public:
+ public:
   typedef Result Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -884,25 +878,26 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::camphorhoist::peer::CallId::Reader getId() const;
+  inline ::camphorhoist::peer::CallId::Reader getId() const;
 
-  inline  ::uint8_t getKind() const;
+  inline ::uint8_t getKind() const;
 
-  inline  ::uint8_t getReason() const;
+  inline ::uint8_t getReason() const;
 
   inline bool getReachedUpstream() const;
 
-  inline  ::uint16_t getStatus() const;
+  inline ::uint16_t getStatus() const;
 
   inline bool hasHeaders() const;
-  inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+      const;
 
   inline bool hasLoad() const;
-  inline  ::camphorhoist::peer::Load::Reader getLoad() const;
+  inline ::camphorhoist::peer::Load::Reader getLoad() const;
 
-  inline  ::uint64_t getConfigVersion() const;
+  inline ::uint64_t getConfigVersion() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -915,13 +910,13 @@
 };
 
 class Result::Builder {
-public:
+ public:
   typedef Result Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -931,42 +926,46 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline  ::camphorhoist::peer::CallId::Builder getId();
-  inline void setId( ::camphorhoist::peer::CallId::Reader value);
-  inline  ::camphorhoist::peer::CallId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::camphorhoist::peer::CallId>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::CallId> disownId();
+  inline ::camphorhoist::peer::CallId::Builder getId();
+  inline void setId(::camphorhoist::peer::CallId::Reader value);
+  inline ::camphorhoist::peer::CallId::Builder initId();
+  inline void adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownId();
 
-  inline  ::uint8_t getKind();
-  inline void setKind( ::uint8_t value);
+  inline ::uint8_t getKind();
+  inline void setKind(::uint8_t value);
 
-  inline  ::uint8_t getReason();
-  inline void setReason( ::uint8_t value);
+  inline ::uint8_t getReason();
+  inline void setReason(::uint8_t value);
 
   inline bool getReachedUpstream();
   inline void setReachedUpstream(bool value);
 
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
+  inline ::uint16_t getStatus();
+  inline void setStatus(::uint16_t value);
 
   inline bool hasHeaders();
-  inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders( ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
-  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
+      unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
 
   inline bool hasLoad();
-  inline  ::camphorhoist::peer::Load::Builder getLoad();
-  inline void setLoad( ::camphorhoist::peer::Load::Reader value);
-  inline  ::camphorhoist::peer::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::camphorhoist::peer::Load>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::Load> disownLoad();
+  inline ::camphorhoist::peer::Load::Builder getLoad();
+  inline void setLoad(::camphorhoist::peer::Load::Reader value);
+  inline ::camphorhoist::peer::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan<::camphorhoist::peer::Load>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Load> disownLoad();
 
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
+  inline ::uint64_t getConfigVersion();
+  inline void setConfigVersion(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -977,16 +976,17 @@
 
 #if !CAPNP_LITE
 class Result::Pipeline {
-public:
+ public:
   typedef Result Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::camphorhoist::peer::CallId::Pipeline getId();
-  inline  ::camphorhoist::peer::Load::Pipeline getLoad();
-private:
+  inline ::camphorhoist::peer::CallId::Pipeline getId();
+  inline ::camphorhoist::peer::Load::Pipeline getLoad();
+
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -995,15 +995,13 @@
 #endif  // !CAPNP_LITE
 
 class Frame::Reader {
-public:
+ public:
   typedef Frame Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
 
 #if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
@@ -1014,31 +1012,31 @@
   inline Which which() const;
   inline bool isHello() const;
   inline bool hasHello() const;
-  inline  ::camphorhoist::peer::Hello::Reader getHello() const;
+  inline ::camphorhoist::peer::Hello::Reader getHello() const;
 
   inline bool isOffer() const;
   inline bool hasOffer() const;
-  inline  ::camphorhoist::peer::Offer::Reader getOffer() const;
+  inline ::camphorhoist::peer::Offer::Reader getOffer() const;
 
   inline bool isResult() const;
   inline bool hasResult() const;
-  inline  ::camphorhoist::peer::Result::Reader getResult() const;
+  inline ::camphorhoist::peer::Result::Reader getResult() const;
 
   inline bool isCancel() const;
   inline bool hasCancel() const;
-  inline  ::camphorhoist::peer::CallId::Reader getCancel() const;
+  inline ::camphorhoist::peer::CallId::Reader getCancel() const;
 
   inline bool isUpstream() const;
   inline bool hasUpstream() const;
-  inline  ::camphorhoist::peer::Upstream::Reader getUpstream() const;
+  inline ::camphorhoist::peer::Upstream::Reader getUpstream() const;
 
   inline bool isPing() const;
-  inline  ::uint64_t getPing() const;
+  inline ::uint64_t getPing() const;
 
   inline bool isPong() const;
-  inline  ::uint64_t getPong() const;
+  inline ::uint64_t getPong() const;
 
-private:
+ private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1051,13 +1049,13 @@
 };
 
 class Frame::Builder {
-public:
+ public:
   typedef Frame Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
@@ -1069,53 +1067,53 @@
   inline Which which();
   inline bool isHello();
   inline bool hasHello();
-  inline  ::camphorhoist::peer::Hello::Builder getHello();
-  inline void setHello( ::camphorhoist::peer::Hello::Reader value);
-  inline  ::camphorhoist::peer::Hello::Builder initHello();
-  inline void adoptHello(::capnp::Orphan< ::camphorhoist::peer::Hello>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::Hello> disownHello();
+  inline ::camphorhoist::peer::Hello::Builder getHello();
+  inline void setHello(::camphorhoist::peer::Hello::Reader value);
+  inline ::camphorhoist::peer::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan<::camphorhoist::peer::Hello>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Hello> disownHello();
 
   inline bool isOffer();
   inline bool hasOffer();
-  inline  ::camphorhoist::peer::Offer::Builder getOffer();
-  inline void setOffer( ::camphorhoist::peer::Offer::Reader value);
-  inline  ::camphorhoist::peer::Offer::Builder initOffer();
-  inline void adoptOffer(::capnp::Orphan< ::camphorhoist::peer::Offer>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::Offer> disownOffer();
+  inline ::camphorhoist::peer::Offer::Builder getOffer();
+  inline void setOffer(::camphorhoist::peer::Offer::Reader value);
+  inline ::camphorhoist::peer::Offer::Builder initOffer();
+  inline void adoptOffer(::capnp::Orphan<::camphorhoist::peer::Offer>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Offer> disownOffer();
 
   inline bool isResult();
   inline bool hasResult();
-  inline  ::camphorhoist::peer::Result::Builder getResult();
-  inline void setResult( ::camphorhoist::peer::Result::Reader value);
-  inline  ::camphorhoist::peer::Result::Builder initResult();
-  inline void adoptResult(::capnp::Orphan< ::camphorhoist::peer::Result>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::Result> disownResult();
+  inline ::camphorhoist::peer::Result::Builder getResult();
+  inline void setResult(::camphorhoist::peer::Result::Reader value);
+  inline ::camphorhoist::peer::Result::Builder initResult();
+  inline void adoptResult(::capnp::Orphan<::camphorhoist::peer::Result>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Result> disownResult();
 
   inline bool isCancel();
   inline bool hasCancel();
-  inline  ::camphorhoist::peer::CallId::Builder getCancel();
-  inline void setCancel( ::camphorhoist::peer::CallId::Reader value);
-  inline  ::camphorhoist::peer::CallId::Builder initCancel();
-  inline void adoptCancel(::capnp::Orphan< ::camphorhoist::peer::CallId>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::CallId> disownCancel();
+  inline ::camphorhoist::peer::CallId::Builder getCancel();
+  inline void setCancel(::camphorhoist::peer::CallId::Reader value);
+  inline ::camphorhoist::peer::CallId::Builder initCancel();
+  inline void adoptCancel(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownCancel();
 
   inline bool isUpstream();
   inline bool hasUpstream();
-  inline  ::camphorhoist::peer::Upstream::Builder getUpstream();
-  inline void setUpstream( ::camphorhoist::peer::Upstream::Reader value);
-  inline  ::camphorhoist::peer::Upstream::Builder initUpstream();
-  inline void adoptUpstream(::capnp::Orphan< ::camphorhoist::peer::Upstream>&& value);
-  inline ::capnp::Orphan< ::camphorhoist::peer::Upstream> disownUpstream();
+  inline ::camphorhoist::peer::Upstream::Builder getUpstream();
+  inline void setUpstream(::camphorhoist::peer::Upstream::Reader value);
+  inline ::camphorhoist::peer::Upstream::Builder initUpstream();
+  inline void adoptUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Upstream> disownUpstream();
 
   inline bool isPing();
-  inline  ::uint64_t getPing();
-  inline void setPing( ::uint64_t value);
+  inline ::uint64_t getPing();
+  inline void setPing(::uint64_t value);
 
   inline bool isPong();
-  inline  ::uint64_t getPong();
-  inline void setPong( ::uint64_t value);
+  inline ::uint64_t getPong();
+  inline void setPong(::uint64_t value);
 
-private:
+ private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -1126,14 +1124,14 @@
 
 #if !CAPNP_LITE
 class Frame::Pipeline {
-public:
+ public:
   typedef Frame Pipelines;
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-private:
+ private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
   template <typename, ::capnp::Kind>
@@ -1144,1407 +1142,1201 @@
 // =======================================================================================
 
 inline bool Header::Reader::hasName() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasName() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getName() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Header::Builder::setName(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Header::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Header::Reader::hasValue() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Header::Builder::hasValue() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Header::Reader::getValue() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Header::Builder::getValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Header::Builder::setValue(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptValue(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Header::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CallId::Reader::getOrigin() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallId::Reader::getOrigin() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CallId::Builder::getOrigin() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallId::Builder::getOrigin() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CallId::Builder::setOrigin( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CallId::Builder::setOrigin(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t CallId::Reader::getCounter() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallId::Reader::getCounter() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t CallId::Builder::getCounter() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t CallId::Builder::getCounter() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CallId::Builder::setCounter( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void CallId::Builder::setCounter(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Load::Reader::getRunning() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint16_t Load::Reader::getRunning() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getRunning() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint16_t Load::Builder::getRunning() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setRunning( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Load::Builder::setRunning(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Load::Reader::getQueued() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint16_t Load::Reader::getQueued() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getQueued() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint16_t Load::Builder::getQueued() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setQueued( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Load::Builder::setQueued(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Load::Reader::getLimit() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Load::Reader::getLimit() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Load::Builder::getLimit() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Load::Builder::getLimit() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setLimit( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Load::Builder::setLimit(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getServiceMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Reader::getServiceMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getServiceMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Builder::getServiceMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setServiceMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Load::Builder::setServiceMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getWaitMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Reader::getWaitMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getWaitMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Builder::getWaitMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setWaitMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Load::Builder::setWaitMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getDeliveryMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Reader::getDeliveryMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Load::Builder::getDeliveryMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint32_t Load::Builder::getDeliveryMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setDeliveryMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Load::Builder::setDeliveryMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Upstream::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Upstream::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Upstream::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Upstream::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Upstream::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Upstream::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Upstream::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Upstream::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Upstream::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Upstream::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Upstream::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Upstream::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Upstream::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Upstream::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Upstream::Reader::hasInstance() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Upstream::Builder::hasInstance() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Upstream::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Upstream::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Upstream::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Upstream::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Upstream::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Upstream::Builder::setInstance(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Upstream::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Upstream::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Upstream::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Upstream::Builder::adoptInstance(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Upstream::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Upstream::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Upstream::Reader::getReady() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
 inline bool Upstream::Builder::getReady() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 inline void Upstream::Builder::setReady(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Upstream::Reader::getWarmUpMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Upstream::Reader::getWarmUpMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Upstream::Builder::getWarmUpMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint32_t Upstream::Builder::getWarmUpMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Upstream::Builder::setWarmUpMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Upstream::Builder::setWarmUpMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Upstream::Reader::hasLoad() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Upstream::Builder::hasLoad() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::peer::Load::Reader Upstream::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Load::Reader Upstream::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::peer::Load::Builder Upstream::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Load::Builder Upstream::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::peer::Load::Pipeline Upstream::Pipeline::getLoad() {
-  return  ::camphorhoist::peer::Load::Pipeline(_typeless.getPointerField(2));
+inline ::camphorhoist::peer::Load::Pipeline Upstream::Pipeline::getLoad() {
+  return ::camphorhoist::peer::Load::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void Upstream::Builder::setLoad( ::camphorhoist::peer::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Upstream::Builder::setLoad(::camphorhoist::peer::Load::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::peer::Load::Builder Upstream::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Load::Builder Upstream::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Upstream::Builder::adoptLoad(
-    ::capnp::Orphan< ::camphorhoist::peer::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Upstream::Builder::adoptLoad(::capnp::Orphan<::camphorhoist::peer::Load>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::peer::Load> Upstream::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::peer::Load> Upstream::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Hello::Reader::hasNode() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Hello::Builder::hasNode() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Hello::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Hello::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Hello::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Hello::Builder::getNode() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Hello::Builder::setNode(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Hello::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Hello::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Hello::Builder::adoptNode(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Hello::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Hello::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Hello::Reader::getIncarnation() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Hello::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t Hello::Builder::getIncarnation() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Hello::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Hello::Builder::setIncarnation(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Hello::Reader::hasDataCentre() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Hello::Builder::hasDataCentre() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Hello::Reader::getDataCentre() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Hello::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Hello::Builder::getDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Hello::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setDataCentre( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Hello::Builder::setDataCentre(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Hello::Builder::initDataCentre(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Hello::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptDataCentre(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Hello::Builder::adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownDataCentre() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Hello::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Hello::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Hello::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Hello::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Hello::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Hello::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Hello::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Hello::Builder::setAddress(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Hello::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Hello::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Hello::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Hello::Builder::adoptAddress(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Hello::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Hello::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Hello::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Hello::Reader::getConfigVersion() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Hello::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Hello::Builder::getConfigVersion() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Hello::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Hello::Builder::setConfigVersion(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Hello::Reader::hasUpstream() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Hello::Builder::hasUpstream() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::peer::Upstream::Reader Hello::Reader::getUpstream() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Upstream::Reader Hello::Reader::getUpstream() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::get(
+      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::peer::Upstream::Builder Hello::Builder::getUpstream() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Upstream::Builder Hello::Builder::getUpstream() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::get(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::peer::Upstream::Pipeline Hello::Pipeline::getUpstream() {
-  return  ::camphorhoist::peer::Upstream::Pipeline(_typeless.getPointerField(3));
+inline ::camphorhoist::peer::Upstream::Pipeline Hello::Pipeline::getUpstream() {
+  return ::camphorhoist::peer::Upstream::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
-inline void Hello::Builder::setUpstream( ::camphorhoist::peer::Upstream::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Hello::Builder::setUpstream(::camphorhoist::peer::Upstream::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::set(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::peer::Upstream::Builder Hello::Builder::initUpstream() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Upstream::Builder Hello::Builder::initUpstream() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::init(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Hello::Builder::adoptUpstream(
-    ::capnp::Orphan< ::camphorhoist::peer::Upstream>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Hello::Builder::adoptUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::adopt(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::peer::Upstream> Hello::Builder::disownUpstream() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::peer::Upstream> Hello::Builder::disownUpstream() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::disown(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Hello::Reader::getBulk() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
 inline bool Hello::Builder::getBulk() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 inline void Hello::Builder::setBulk(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Offer::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::peer::CallId::Reader Offer::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::CallId::Reader Offer::Reader::getId() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::peer::CallId::Builder Offer::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::CallId::Builder Offer::Builder::getId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::peer::CallId::Pipeline Offer::Pipeline::getId() {
-  return  ::camphorhoist::peer::CallId::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::peer::CallId::Pipeline Offer::Pipeline::getId() {
+  return ::camphorhoist::peer::CallId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Offer::Builder::setId( ::camphorhoist::peer::CallId::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Offer::Builder::setId(::camphorhoist::peer::CallId::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::peer::CallId::Builder Offer::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::CallId::Builder Offer::Builder::initId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Offer::Builder::adoptId(
-    ::capnp::Orphan< ::camphorhoist::peer::CallId>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Offer::Builder::adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::peer::CallId> Offer::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::peer::CallId> Offer::Builder::disownId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 inline bool Offer::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Offer::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Offer::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Offer::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Offer::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Offer::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Offer::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Offer::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Offer::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Offer::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Offer::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Offer::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Offer::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Offer::Reader::hasInstance() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasInstance() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Offer::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Offer::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Offer::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Offer::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Offer::Builder::setInstance( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Offer::Builder::setInstance(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Offer::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Offer::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Offer::Builder::adoptInstance(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Offer::Builder::adoptInstance(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Offer::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Offer::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Offer::Reader::hasRequestId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasRequestId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Offer::Reader::getRequestId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Offer::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Offer::Builder::getRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Offer::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Offer::Builder::setRequestId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Offer::Builder::setRequestId(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Offer::Builder::initRequestId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Offer::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Offer::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Offer::Builder::adoptRequestId(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Offer::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Offer::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Offer::Reader::hasMethod() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasMethod() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Offer::Reader::getMethod() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Offer::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Offer::Builder::getMethod() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Offer::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Offer::Builder::setMethod( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void Offer::Builder::setMethod(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Offer::Builder::initMethod(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Offer::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Offer::Builder::adoptMethod(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void Offer::Builder::adoptMethod(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Offer::Builder::disownMethod() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Offer::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool Offer::Reader::hasTarget() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasTarget() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Offer::Reader::getTarget() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Offer::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Offer::Builder::getTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Offer::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void Offer::Builder::setTarget( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+inline void Offer::Builder::setTarget(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Offer::Builder::initTarget(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Offer::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void Offer::Builder::adoptTarget(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline void Offer::Builder::adoptTarget(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Offer::Builder::disownTarget() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Offer::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
 inline bool Offer::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader Offer::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Builder Offer::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void Offer::Builder::setHeaders( ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Builder Offer::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader
+Offer::Reader::getHeaders() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder
+Offer::Builder::getHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Offer::Builder::setHeaders(
+    ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder
+Offer::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
 inline void Offer::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>> Offer::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>
+Offer::Builder::disownHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::disown(
+          _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
 inline bool Offer::Reader::hasOriginService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
 inline bool Offer::Builder::hasOriginService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Offer::Reader::getOriginService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader Offer::Reader::getOriginService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Offer::Builder::getOriginService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder Offer::Builder::getOriginService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
-inline void Offer::Builder::setOriginService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+inline void Offer::Builder::setOriginService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Offer::Builder::initOriginService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder Offer::Builder::initOriginService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), size);
 }
-inline void Offer::Builder::adoptOriginService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+inline void Offer::Builder::adoptOriginService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Offer::Builder::disownOriginService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<7>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> Offer::Builder::disownOriginService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Offer::Reader::getTimeLeftMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Offer::Reader::getTimeLeftMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Offer::Builder::getTimeLeftMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint32_t Offer::Builder::getTimeLeftMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Offer::Builder::setTimeLeftMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Offer::Builder::setTimeLeftMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t Offer::Reader::getObjectiveLeftMicros() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::int32_t Offer::Reader::getObjectiveLeftMicros() const {
+  return _reader.getDataField<::int32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t Offer::Builder::getObjectiveLeftMicros() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::int32_t Offer::Builder::getObjectiveLeftMicros() {
+  return _builder.getDataField<::int32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Offer::Builder::setObjectiveLeftMicros( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Offer::Builder::setObjectiveLeftMicros(::int32_t value) {
+  _builder.setDataField<::int32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Offer::Reader::getProfile() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Offer::Reader::getProfile() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Offer::Builder::getProfile() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Offer::Builder::getProfile() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Offer::Builder::setProfile( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Offer::Builder::setProfile(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int32_t Offer::Reader::getPriority() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::int32_t Offer::Reader::getPriority() const {
+  return _reader.getDataField<::int32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int32_t Offer::Builder::getPriority() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::int32_t Offer::Builder::getPriority() {
+  return _builder.getDataField<::int32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Offer::Builder::setPriority( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Offer::Builder::setPriority(::int32_t value) {
+  _builder.setDataField<::int32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Offer::Reader::getNested() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS);
 }
 
 inline bool Offer::Builder::getNested() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS);
 }
 inline void Offer::Builder::setNested(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Offer::Reader::getIdempotent() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<161>() * ::capnp::ELEMENTS);
 }
 
 inline bool Offer::Builder::getIdempotent() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<161>() * ::capnp::ELEMENTS);
 }
 inline void Offer::Builder::setIdempotent(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<161>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<161>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Offer::Reader::getMaxWaitMicros() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint32_t Offer::Reader::getMaxWaitMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Offer::Builder::getMaxWaitMicros() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline ::uint32_t Offer::Builder::getMaxWaitMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Offer::Builder::setMaxWaitMicros( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Offer::Builder::setMaxWaitMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Offer::Reader::getBulk() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<162>() * ::capnp::ELEMENTS);
 }
 
 inline bool Offer::Builder::getBulk() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<162>() * ::capnp::ELEMENTS);
 }
 inline void Offer::Builder::setBulk(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Result::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Result::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::peer::CallId::Reader Result::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::CallId::Reader Result::Reader::getId() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::peer::CallId::Builder Result::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::CallId::Builder Result::Builder::getId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::peer::CallId::Pipeline Result::Pipeline::getId() {
-  return  ::camphorhoist::peer::CallId::Pipeline(_typeless.getPointerField(0));
+inline ::camphorhoist::peer::CallId::Pipeline Result::Pipeline::getId() {
+  return ::camphorhoist::peer::CallId::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Result::Builder::setId( ::camphorhoist::peer::CallId::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Result::Builder::setId(::camphorhoist::peer::CallId::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::peer::CallId::Builder Result::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::CallId::Builder Result::Builder::initId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Result::Builder::adoptId(
-    ::capnp::Orphan< ::camphorhoist::peer::CallId>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Result::Builder::adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::peer::CallId> Result::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::peer::CallId> Result::Builder::disownId() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Result::Reader::getKind() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t Result::Reader::getKind() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Result::Builder::getKind() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint8_t Result::Builder::getKind() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Result::Builder::setKind( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Result::Builder::setKind(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Result::Reader::getReason() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint8_t Result::Reader::getReason() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Result::Builder::getReason() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint8_t Result::Builder::getReason() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Result::Builder::setReason( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Result::Builder::setReason(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Result::Reader::getReachedUpstream() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+  return _reader.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 
 inline bool Result::Builder::getReachedUpstream() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+  return _builder.getDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS);
 }
 inline void Result::Builder::setReachedUpstream(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+  _builder.setDataField<bool>(::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Result::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Result::Reader::getStatus() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Result::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::uint16_t Result::Builder::getStatus() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Result::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Result::Builder::setStatus(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Result::Reader::hasHeaders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Result::Builder::hasHeaders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader Result::Reader::getHeaders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Builder Result::Builder::getHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Result::Builder::setHeaders( ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>::Builder Result::Builder::initHeaders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader
+Result::Reader::getHeaders() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder
+Result::Builder::getHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Result::Builder::setHeaders(
+    ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder
+Result::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Result::Builder::adoptHeaders(
-    ::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+    ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>> Result::Builder::disownHeaders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::camphorhoist::peer::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>
+Result::Builder::disownHeaders() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>::disown(
+          _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Result::Reader::hasLoad() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
 inline bool Result::Builder::hasLoad() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::camphorhoist::peer::Load::Reader Result::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Load::Reader Result::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::camphorhoist::peer::Load::Builder Result::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Load::Builder Result::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::camphorhoist::peer::Load::Pipeline Result::Pipeline::getLoad() {
-  return  ::camphorhoist::peer::Load::Pipeline(_typeless.getPointerField(2));
+inline ::camphorhoist::peer::Load::Pipeline Result::Pipeline::getLoad() {
+  return ::camphorhoist::peer::Load::Pipeline(_typeless.getPointerField(2));
 }
 #endif  // !CAPNP_LITE
-inline void Result::Builder::setLoad( ::camphorhoist::peer::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Result::Builder::setLoad(::camphorhoist::peer::Load::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::camphorhoist::peer::Load::Builder Result::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::camphorhoist::peer::Load::Builder Result::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Result::Builder::adoptLoad(
-    ::capnp::Orphan< ::camphorhoist::peer::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Result::Builder::adoptLoad(::capnp::Orphan<::camphorhoist::peer::Load>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::camphorhoist::peer::Load> Result::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::camphorhoist::peer::Load> Result::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Result::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Result::Reader::getConfigVersion() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Result::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t Result::Builder::getConfigVersion() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Result::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Result::Builder::setConfigVersion(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::camphorhoist::peer::Frame::Which Frame::Reader::which() const {
-  return _reader.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::camphorhoist::peer::Frame::Which Frame::Reader::which() const {
+  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::camphorhoist::peer::Frame::Which Frame::Builder::which() {
-  return _builder.getDataField<Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::camphorhoist::peer::Frame::Which Frame::Builder::which() {
+  return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Frame::Reader::isHello() const {
-  return which() == Frame::HELLO;
-}
-inline bool Frame::Builder::isHello() {
-  return which() == Frame::HELLO;
-}
+inline bool Frame::Reader::isHello() const { return which() == Frame::HELLO; }
+inline bool Frame::Builder::isHello() { return which() == Frame::HELLO; }
 inline bool Frame::Reader::hasHello() const {
   if (which() != Frame::HELLO) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Frame::Builder::hasHello() {
   if (which() != Frame::HELLO) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::camphorhoist::peer::Hello::Reader Frame::Reader::getHello() const {
-  KJ_IREQUIRE((which() == Frame::HELLO),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Hello>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::camphorhoist::peer::Hello::Builder Frame::Builder::getHello() {
-  KJ_IREQUIRE((which() == Frame::HELLO),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Hello>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::setHello( ::camphorhoist::peer::Hello::Reader value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Hello>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::camphorhoist::peer::Hello::Builder Frame::Builder::initHello() {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Hello>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::adoptHello(
-    ::capnp::Orphan< ::camphorhoist::peer::Hello>&& value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Hello>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::camphorhoist::peer::Hello> Frame::Builder::disownHello() {
-  KJ_IREQUIRE((which() == Frame::HELLO),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Hello>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Frame::Reader::isOffer() const {
-  return which() == Frame::OFFER;
-}
-inline bool Frame::Builder::isOffer() {
-  return which() == Frame::OFFER;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::Hello::Reader Frame::Reader::getHello() const {
+  KJ_IREQUIRE((which() == Frame::HELLO), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Hello>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::Hello::Builder Frame::Builder::getHello() {
+  KJ_IREQUIRE((which() == Frame::HELLO), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Hello>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setHello(::camphorhoist::peer::Hello::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Hello>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::Hello::Builder Frame::Builder::initHello() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Hello>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
+inline void Frame::Builder::adoptHello(::capnp::Orphan<::camphorhoist::peer::Hello>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::HELLO);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Hello>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::Hello> Frame::Builder::disownHello() {
+  KJ_IREQUIRE((which() == Frame::HELLO), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Hello>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isOffer() const { return which() == Frame::OFFER; }
+inline bool Frame::Builder::isOffer() { return which() == Frame::OFFER; }
 inline bool Frame::Reader::hasOffer() const {
   if (which() != Frame::OFFER) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Frame::Builder::hasOffer() {
   if (which() != Frame::OFFER) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::camphorhoist::peer::Offer::Reader Frame::Reader::getOffer() const {
-  KJ_IREQUIRE((which() == Frame::OFFER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Offer>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::camphorhoist::peer::Offer::Builder Frame::Builder::getOffer() {
-  KJ_IREQUIRE((which() == Frame::OFFER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Offer>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::setOffer( ::camphorhoist::peer::Offer::Reader value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::OFFER);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Offer>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::camphorhoist::peer::Offer::Builder Frame::Builder::initOffer() {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::OFFER);
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Offer>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::adoptOffer(
-    ::capnp::Orphan< ::camphorhoist::peer::Offer>&& value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::OFFER);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Offer>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::camphorhoist::peer::Offer> Frame::Builder::disownOffer() {
-  KJ_IREQUIRE((which() == Frame::OFFER),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Offer>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Frame::Reader::isResult() const {
-  return which() == Frame::RESULT;
-}
-inline bool Frame::Builder::isResult() {
-  return which() == Frame::RESULT;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::Offer::Reader Frame::Reader::getOffer() const {
+  KJ_IREQUIRE((which() == Frame::OFFER), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Offer>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::Offer::Builder Frame::Builder::getOffer() {
+  KJ_IREQUIRE((which() == Frame::OFFER), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Offer>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setOffer(::camphorhoist::peer::Offer::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::OFFER);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Offer>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
+inline ::camphorhoist::peer::Offer::Builder Frame::Builder::initOffer() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::OFFER);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Offer>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptOffer(::capnp::Orphan<::camphorhoist::peer::Offer>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::OFFER);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Offer>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::Offer> Frame::Builder::disownOffer() {
+  KJ_IREQUIRE((which() == Frame::OFFER), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Offer>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isResult() const { return which() == Frame::RESULT; }
+inline bool Frame::Builder::isResult() { return which() == Frame::RESULT; }
 inline bool Frame::Reader::hasResult() const {
   if (which() != Frame::RESULT) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Frame::Builder::hasResult() {
   if (which() != Frame::RESULT) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::camphorhoist::peer::Result::Reader Frame::Reader::getResult() const {
-  KJ_IREQUIRE((which() == Frame::RESULT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Result>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::camphorhoist::peer::Result::Builder Frame::Builder::getResult() {
-  KJ_IREQUIRE((which() == Frame::RESULT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Result>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::setResult( ::camphorhoist::peer::Result::Reader value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESULT);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Result>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::camphorhoist::peer::Result::Builder Frame::Builder::initResult() {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESULT);
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Result>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::adoptResult(
-    ::capnp::Orphan< ::camphorhoist::peer::Result>&& value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESULT);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Result>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::camphorhoist::peer::Result> Frame::Builder::disownResult() {
-  KJ_IREQUIRE((which() == Frame::RESULT),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Result>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Frame::Reader::isCancel() const {
-  return which() == Frame::CANCEL;
-}
-inline bool Frame::Builder::isCancel() {
-  return which() == Frame::CANCEL;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::Result::Reader Frame::Reader::getResult() const {
+  KJ_IREQUIRE((which() == Frame::RESULT), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Result>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
+inline ::camphorhoist::peer::Result::Builder Frame::Builder::getResult() {
+  KJ_IREQUIRE((which() == Frame::RESULT), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Result>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setResult(::camphorhoist::peer::Result::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESULT);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Result>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::Result::Builder Frame::Builder::initResult() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESULT);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Result>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptResult(::capnp::Orphan<::camphorhoist::peer::Result>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::RESULT);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Result>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::Result> Frame::Builder::disownResult() {
+  KJ_IREQUIRE((which() == Frame::RESULT), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Result>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isCancel() const { return which() == Frame::CANCEL; }
+inline bool Frame::Builder::isCancel() { return which() == Frame::CANCEL; }
 inline bool Frame::Reader::hasCancel() const {
   if (which() != Frame::CANCEL) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Frame::Builder::hasCancel() {
   if (which() != Frame::CANCEL) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::camphorhoist::peer::CallId::Reader Frame::Reader::getCancel() const {
-  KJ_IREQUIRE((which() == Frame::CANCEL),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::camphorhoist::peer::CallId::Builder Frame::Builder::getCancel() {
-  KJ_IREQUIRE((which() == Frame::CANCEL),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::setCancel( ::camphorhoist::peer::CallId::Reader value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CANCEL);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::camphorhoist::peer::CallId::Builder Frame::Builder::initCancel() {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CANCEL);
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::adoptCancel(
-    ::capnp::Orphan< ::camphorhoist::peer::CallId>&& value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CANCEL);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::camphorhoist::peer::CallId> Frame::Builder::disownCancel() {
-  KJ_IREQUIRE((which() == Frame::CANCEL),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::CallId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Frame::Reader::isUpstream() const {
-  return which() == Frame::UPSTREAM;
-}
-inline bool Frame::Builder::isUpstream() {
-  return which() == Frame::UPSTREAM;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::CallId::Reader Frame::Reader::getCancel() const {
+  KJ_IREQUIRE((which() == Frame::CANCEL), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::CallId::Builder Frame::Builder::getCancel() {
+  KJ_IREQUIRE((which() == Frame::CANCEL), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setCancel(::camphorhoist::peer::CallId::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CANCEL);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::CallId::Builder Frame::Builder::initCancel() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CANCEL);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptCancel(::capnp::Orphan<::camphorhoist::peer::CallId>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::CANCEL);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
+inline ::capnp::Orphan<::camphorhoist::peer::CallId> Frame::Builder::disownCancel() {
+  KJ_IREQUIRE((which() == Frame::CANCEL), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::CallId>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isUpstream() const { return which() == Frame::UPSTREAM; }
+inline bool Frame::Builder::isUpstream() { return which() == Frame::UPSTREAM; }
 inline bool Frame::Reader::hasUpstream() const {
   if (which() != Frame::UPSTREAM) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
 inline bool Frame::Builder::hasUpstream() {
   if (which() != Frame::UPSTREAM) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::camphorhoist::peer::Upstream::Reader Frame::Reader::getUpstream() const {
-  KJ_IREQUIRE((which() == Frame::UPSTREAM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::camphorhoist::peer::Upstream::Builder Frame::Builder::getUpstream() {
-  KJ_IREQUIRE((which() == Frame::UPSTREAM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::setUpstream( ::camphorhoist::peer::Upstream::Reader value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::UPSTREAM);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::camphorhoist::peer::Upstream::Builder Frame::Builder::initUpstream() {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::UPSTREAM);
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Frame::Builder::adoptUpstream(
-    ::capnp::Orphan< ::camphorhoist::peer::Upstream>&& value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::UPSTREAM);
-  ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::camphorhoist::peer::Upstream> Frame::Builder::disownUpstream() {
-  KJ_IREQUIRE((which() == Frame::UPSTREAM),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::camphorhoist::peer::Upstream>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Frame::Reader::isPing() const {
-  return which() == Frame::PING;
-}
-inline bool Frame::Builder::isPing() {
-  return which() == Frame::PING;
-}
-inline  ::uint64_t Frame::Reader::getPing() const {
-  KJ_IREQUIRE((which() == Frame::PING),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Frame::Builder::getPing() {
-  KJ_IREQUIRE((which() == Frame::PING),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Frame::Builder::setPing( ::uint64_t value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::PING);
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Frame::Reader::isPong() const {
-  return which() == Frame::PONG;
-}
-inline bool Frame::Builder::isPong() {
-  return which() == Frame::PONG;
-}
-inline  ::uint64_t Frame::Reader::getPong() const {
-  KJ_IREQUIRE((which() == Frame::PONG),
-              "Must check which() before get()ing a union member.");
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Frame::Builder::getPong() {
-  KJ_IREQUIRE((which() == Frame::PONG),
-              "Must check which() before get()ing a union member.");
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Frame::Builder::setPong( ::uint64_t value) {
-  _builder.setDataField<Frame::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::PONG);
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-}  // namespace
-}  // namespace
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::Upstream::Reader Frame::Reader::getUpstream() const {
+  KJ_IREQUIRE((which() == Frame::UPSTREAM), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::Upstream::Builder Frame::Builder::getUpstream() {
+  KJ_IREQUIRE((which() == Frame::UPSTREAM), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setUpstream(::camphorhoist::peer::Upstream::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::UPSTREAM);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::Upstream::Builder Frame::Builder::initUpstream() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::UPSTREAM);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::UPSTREAM);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::Upstream> Frame::Builder::disownUpstream() {
+  KJ_IREQUIRE((which() == Frame::UPSTREAM), "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Upstream>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
 
-CAPNP_END_HEADER
+inline bool Frame::Reader::isPing() const { return which() == Frame::PING; }
+inline bool Frame::Builder::isPing() { return which() == Frame::PING; }
+inline ::uint64_t Frame::Reader::getPing() const {
+  KJ_IREQUIRE((which() == Frame::PING), "Must check which() before get()ing a union member.");
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
+inline ::uint64_t Frame::Builder::getPing() {
+  KJ_IREQUIRE((which() == Frame::PING), "Must check which() before get()ing a union member.");
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setPing(::uint64_t value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::PING);
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Frame::Reader::isPong() const { return which() == Frame::PONG; }
+inline bool Frame::Builder::isPong() { return which() == Frame::PONG; }
+inline ::uint64_t Frame::Reader::getPong() const {
+  KJ_IREQUIRE((which() == Frame::PONG), "Must check which() before get()ing a union member.");
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Frame::Builder::getPong() {
+  KJ_IREQUIRE((which() == Frame::PONG), "Must check which() before get()ing a union member.");
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setPong(::uint64_t value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS, Frame::PONG);
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+}  // namespace peer
+}  // namespace camphorhoist
+
+CAPNP_END_HEADER
