Test of call headers: leave the Host line out of the search for dropped values

Cause: PassesCallHeaders looks for "77" and "999" in all bytes of the request, and the Host header holds a free port, which contains 77 in some runs. Ruled out: load, and that the depth of the caller is passed on: the message names only "77", and the depth header is checked to be 3 before. Conclusion: the check is as strict for every line but Host, whose value the client writes itself.

--- a/src/libupstream/upstream_client_test.cc
+++ b/src/libupstream/upstream_client_test.cc
@@ -260,8 +260,12 @@
                            "\r\nX-Camphorhoist-Depth: 3\r\n"}) {
       CPPUNIT_ASSERT_MESSAGE(it, text.find(it) != std::string::npos);
     }
+    // The Host header holds a free port, which may contain these digits.
+    std::string without_host = text;
+    const size_t host = without_host.find("\r\nHost: ");
+    without_host.erase(host, without_host.find("\r\n", host + 2) - host);
     for (const char* it : {"X-Hop", "999", "chunked", "77"}) {
-      CPPUNIT_ASSERT_MESSAGE(it, text.find(it) == std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(it, without_host.find(it) == std::string::npos);
     }
     const size_t at = text.find("X-Camphorhoist-Timeout-Ms: ");
     const int remaining = std::atoi(text.c_str() + at + sizeof("X-Camphorhoist-Timeout-Ms: ") - 1);
