--- a/include/camphorhoist/server_picker.h
+++ b/include/camphorhoist/server_picker.h
@@ -53,6 +53,8 @@
   static constexpr double kJitterShare = 0.3;
   /// Servers are slow for some seconds after their start.
   static constexpr double kColdFactor = 2.0;
+  /// Servers slow down as they fill up: a full one by this share of its service time.
+  static constexpr double kFullSlowdown = 0.25;
   /// Cost of a server that fails all calls, in service times.
   static constexpr double kFailureCost = 8.0;
 
--- a/src/libnode/event_loop.cc
+++ b/src/libnode/event_loop.cc
@@ -206,14 +206,6 @@
       });
 }
 
-sockaddr_in ToSockaddr(const NetAddress& address) {
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(address.port());
-  inet_pton(AF_INET, address.ip().c_str(), &name.sin_addr);
-  return name;
-}
-
 int ListenSocket(const NetAddress& address, std::error_code* ec) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
   const int on = 1;
--- a/src/libnode/event_loop.h
+++ b/src/libnode/event_loop.h
@@ -11,6 +11,7 @@
 
 #include "camphorhoist/net_address.h"
 #include "libbase/event_ptr.h"
+#include "libbase/socket_address.h"
 
 namespace camphorhoist {
 
@@ -96,9 +97,6 @@
 /// not time out by itself.
 kj::Promise<kj::Own<SocketStream>> ConnectSocket(EventLoop* loop, const NetAddress& address);
 
-/// Precondition: `address` holds a valid IP number.
-sockaddr_in ToSockaddr(const NetAddress& address);
-
 /// Binds a listening TCP socket, close-on-exec and non-blocking. Returns -1 and sets `ec` on error.
 int ListenSocket(const NetAddress& address, std::error_code* ec);
 
--- a/src/libproxy/server_picker.cc
+++ b/src/libproxy/server_picker.cc
@@ -32,8 +32,7 @@
   const double occupied = reported + candidate.offered_since;
   const double ahead = std::max(0.0, occupied + 1 - limit);
   double cost = service + ahead / rate;
-  // Servers slow down as they fill up.
-  cost += 0.25 * service * std::min(1.0, occupied / limit);
+  cost += kFullSlowdown * service * std::min(1.0, occupied / limit);
   if (FromMicros(age) < candidate.warm_up) cost += (kColdFactor - 1) * service;
   cost += kFailureCost * candidate.failure_share * service;
   return FromMicros(cost);
--- a/src/libsidecar/caller_connection.cc
+++ b/src/libsidecar/caller_connection.cc
@@ -122,7 +122,7 @@
 void CallerConnection::RejectRequest(int status) {
   owner_->metrics()->Count("requests_rejected_total");
   LogEvent(LogLevel::kInfo, "caller", "rejected").Add("status", status);
-  AppendResponse(status, {}, "", true, true, bufferevent_get_output(bufev_.get()));
+  AppendResponse(status, {}, "", true, bufferevent_get_output(bufev_.get()));
   CloseAfterWrite();
 }
 
@@ -152,7 +152,7 @@
 
 void CallerConnection::Respond(const CallerResponse& response) {
   const bool close = !keep_alive_ || !owner_->keep_alive();
-  AppendResponse(response.status, response.headers, response.body, true, close,
+  AppendResponse(response.status, response.headers, response.body, close,
                  bufferevent_get_output(bufev_.get()));
   if (close) return CloseAfterWrite();
   state_ = State::kReading;
@@ -173,13 +173,17 @@
   return 0;
 }
 
+int CallerConnection::CountHeadBytes(size_t size) {
+  head_bytes_ += size;
+  if (head_bytes_ <= owner_->limits().max_header_bytes) return 0;
+  reject_status_ = kHeadersTooLarge;
+  return 1;
+}
+
 int CallerConnection::OnUrl(http_parser* parser, const char* at, size_t size) {
   CallerConnection* self = Self(parser);
-  self->head_bytes_ += size;
   self->request_.target.append(at, size);
-  if (self->head_bytes_ <= self->owner_->limits().max_header_bytes) return 0;
-  self->reject_status_ = kHeadersTooLarge;
-  return 1;
+  return self->CountHeadBytes(size);
 }
 
 int CallerConnection::OnHeaderField(http_parser* parser, const char* at, size_t size) {
@@ -188,20 +192,14 @@
   if (headers.empty() || self->last_was_value_) headers.emplace_back();
   self->last_was_value_ = false;
   headers.back().first.append(at, size);
-  self->head_bytes_ += size;
-  if (self->head_bytes_ <= self->owner_->limits().max_header_bytes) return 0;
-  self->reject_status_ = kHeadersTooLarge;
-  return 1;
+  return self->CountHeadBytes(size);
 }
 
 int CallerConnection::OnHeaderValue(http_parser* parser, const char* at, size_t size) {
   CallerConnection* self = Self(parser);
   self->request_.headers.back().second.append(at, size);
   self->last_was_value_ = true;
-  self->head_bytes_ += size;
-  if (self->head_bytes_ <= self->owner_->limits().max_header_bytes) return 0;
-  self->reject_status_ = kHeadersTooLarge;
-  return 1;
+  return self->CountHeadBytes(size);
 }
 
 int CallerConnection::OnHeadersComplete(http_parser* parser) {
--- a/src/libsidecar/caller_connection.h
+++ b/src/libsidecar/caller_connection.h
@@ -48,6 +48,8 @@
   static int OnMessageComplete(http_parser* parser);
   static const http_parser_settings* ParserSettings();
 
+  /// Result for the parser: 0, or 1 with `reject_status_` once the head is too large.
+  int CountHeadBytes(size_t size);
   void Parse();
   void RejectRequest(int status);
   void BeginCall();
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -304,17 +304,9 @@
     Call* call = it->second.get();
     call->lost_timer.reset();
     if (call->node_incarnation == peer->incarnation) {
-      // The id of the offer stays, so that the peer does not run it twice.
-      call->lost = false;
-      call->by_bulk_link = false;
-      peer->link->AddOutstanding(1);
-      SendOffer(call, peer, CallPlacement::kAnyWait);
+      RepeatOffer(call, peer);
     } else {
-      call->lost = false;
-      by_offer_.erase(call->offer_id);
-      call->offer_id = CallId();
-      ++call->servers_reached;
-      OnUnknown(call, peer->node, ResultReason::kConnectionLost);
+      OnOfferLost(call);
     }
   }
 }
@@ -332,24 +324,17 @@
     Call* call = it->second.get();
     if (!call->lost) LinkOf(*call, peer)->AddOutstanding(-1);
     if (gone) {
-      call->lost = false;
       call->lost_timer.reset();
-      by_offer_.erase(call->offer_id);
-      call->offer_id = CallId();
-      ++call->servers_reached;
-      OnUnknown(call, peer->node, ResultReason::kConnectionLost);
+      OnOfferLost(call);
       continue;
     }
     if (call->lost) continue;
-    call->lost = true;
     if (call->by_bulk_link && peer->link->up()) {
       // The other connection still works.
-      call->lost = false;
-      call->by_bulk_link = false;
-      peer->link->AddOutstanding(1);
-      SendOffer(call, peer, CallPlacement::kAnyWait);
+      RepeatOffer(call, peer);
       continue;
     }
+    call->lost = true;
     call->lost_timer = std::make_unique<Timer>(base_, [this, handle] { OnLostTooLong(handle); });
     call->lost_timer->StartOnce(kReconnectWait);
   }
@@ -359,6 +344,11 @@
   const auto it = calls_.find(handle);
   if (it == calls_.end() || !it->second->lost) return;
   Call* call = it->second.get();
+  OnOfferLost(call);
+}
+
+// The offer may have run, and nothing more will be heard of it.
+void Dispatcher::OnOfferLost(Call* call) {
   call->lost = false;
   by_offer_.erase(call->offer_id);
   call->offer_id = CallId();
@@ -366,6 +356,14 @@
   OnUnknown(call, call->node, ResultReason::kConnectionLost);
 }
 
+// The id of the offer stays, so that the peer does not run it twice.
+void Dispatcher::RepeatOffer(Call* call, Peer* peer) {
+  call->lost = false;
+  call->by_bulk_link = false;
+  peer->link->AddOutstanding(1);
+  SendOffer(call, peer, CallPlacement::kAnyWait);
+}
+
 // Ends the offer under way, without telling the peer.
 void Dispatcher::Release(Call* call) {
   if (by_offer_.erase(call->offer_id) == 0) return;
@@ -374,19 +372,22 @@
   call->lost = false;
 }
 
+void Dispatcher::CancelOffer(Call* call) {
+  if (by_offer_.count(call->offer_id) == 0) return;
+  Peer* peer = directory_->Find(call->node);
+  if (peer != nullptr && peer->local()) {
+    local_->Cancel(call->offer_id);
+  } else if (peer != nullptr && !call->lost) {
+    LinkOf(*call, peer)->Send(CallCancel{call->offer_id});
+  }
+  Release(call);
+}
+
 void Dispatcher::Cancel(Handle handle) {
   const auto it = calls_.find(handle);
   if (it == calls_.end()) return;
   Call* call = it->second.get();
-  if (by_offer_.count(call->offer_id) != 0) {
-    Peer* peer = directory_->Find(call->node);
-    if (peer != nullptr && peer->local()) {
-      local_->Cancel(call->offer_id);
-    } else if (peer != nullptr && !call->lost) {
-      LinkOf(*call, peer)->Send(CallCancel{call->offer_id});
-    }
-    Release(call);
-  }
+  CancelOffer(call);
   metrics_->Count("cancelled_total");
   calls_.erase(it);
 }
@@ -395,15 +396,7 @@
   const auto it = calls_.find(handle);
   if (it == calls_.end()) return;
   Call* call = it->second.get();
-  if (by_offer_.count(call->offer_id) != 0) {
-    Peer* peer = directory_->Find(call->node);
-    if (peer != nullptr && peer->local()) {
-      local_->Cancel(call->offer_id);
-    } else if (peer != nullptr && !call->lost) {
-      LinkOf(*call, peer)->Send(CallCancel{call->offer_id});
-    }
-    Release(call);
-  }
+  CancelOffer(call);
   Fail(call, kGatewayTimeout, "deadline");
 }
 
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -117,6 +117,9 @@
   bool MayRepeat(Call* call);
   void OnDeadline(Handle handle);
   void OnLostTooLong(Handle handle);
+  void OnOfferLost(Call* call);
+  void RepeatOffer(Call* call, Peer* peer);
+  void CancelOffer(Call* call);
   void Refuse(Call* call, const char* reason);
   void Fail(Call* call, int status, const char* reason);
   void Finish(Call* call, CallerResponse response);
--- a/src/libsidecar/frame_stream.cc
+++ b/src/libsidecar/frame_stream.cc
@@ -1,12 +1,10 @@
 #include "libsidecar/frame_stream.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <cerrno>
 #include <cstring>
 #include <utility>
 
+#include "libbase/socket_address.h"
 #include "libbase/socket_options.h"
 #include "libsidecar/http_text.h"
 
@@ -29,12 +27,9 @@
   bufferevent_set_max_single_read(bufev_.get(), kSocketReadBytes);
   const timeval tv = ToTimeval(timeout);
   bufferevent_set_timeouts(bufev_.get(), nullptr, &tv);
-  sockaddr_in sin{};
-  sin.sin_family = AF_INET;
-  sin.sin_port = htons(address.port());
-  inet_pton(AF_INET, address.ip().c_str(), &sin.sin_addr);
+  sockaddr_in name = ToSockaddr(address);
   bufferevent_enable(bufev_.get(), EV_READ | EV_WRITE);
-  bufferevent_socket_connect(bufev_.get(), reinterpret_cast<sockaddr*>(&sin), sizeof(sin));
+  bufferevent_socket_connect(bufev_.get(), reinterpret_cast<sockaddr*>(&name), sizeof(name));
 }
 
 void FrameStream::Send(PeerMessage message) {
--- a/src/libsidecar/http_text.cc
+++ b/src/libsidecar/http_text.cc
@@ -42,8 +42,8 @@
   if (!body.empty()) Append(body, output);
 }
 
-void AppendResponse(int status, const HttpHeaders& headers, const std::string& body, bool with_body,
-                    bool close, evbuffer* output) {
+void AppendResponse(int status, const HttpHeaders& headers, const std::string& body, bool close,
+                    evbuffer* output) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
                      http_status_str(static_cast<http_status>(status)) + "\r\n";
   AppendHeaders(headers, &text);
@@ -53,7 +53,7 @@
   if (close) text += "Connection: close\r\n";
   text += "\r\n";
   Append(text, output);
-  if (with_body && !body.empty()) Append(body, output);
+  if (!body.empty()) Append(body, output);
 }
 
 }  // namespace camphorhoist
--- a/src/libsidecar/http_text.h
+++ b/src/libsidecar/http_text.h
@@ -17,9 +17,9 @@
 void AppendRequest(const std::string& method, const std::string& target, const HttpHeaders& headers,
                    const std::string& body, evbuffer* output);
 
-/// Appends a response with the whole body. `with_body` is false for the response to HEAD.
-void AppendResponse(int status, const HttpHeaders& headers, const std::string& body, bool with_body,
-                    bool close, evbuffer* output);
+/// Appends a response with the whole body.
+void AppendResponse(int status, const HttpHeaders& headers, const std::string& body, bool close,
+                    evbuffer* output);
 
 }  // namespace camphorhoist
 
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -48,14 +48,13 @@
   on_status_();
 }
 
-void LocalUpstream::SetEgress(size_t bytes_per_second, std::function<size_t()> backlog) {
+void LocalUpstream::SetEgress(double bytes_per_second, std::function<size_t()> backlog) {
   egress_rate_ = bytes_per_second;
   egress_backlog_ = std::move(backlog);
 }
 
 ProxyDuration LocalUpstream::LinkTime(double bytes) const {
-  const double seconds = bytes / (kEgressShare * static_cast<double>(egress_rate_));
-  return duration_cast<ProxyDuration>(std::chrono::duration<double>(seconds));
+  return duration_cast<ProxyDuration>(std::chrono::duration<double>(bytes / egress_rate_));
 }
 
 ProxyDuration LocalUpstream::DeliveryWait() const {
@@ -189,12 +188,7 @@
   }
   queue_.OnFinish(entry.key, service_time);
   if (outcome.kind != ResultKind::kResponse) {
-    LogEvent(LogLevel::kInfo, "upstream", "no_response")
-        .Add("request", entry.request_id)
-        .Add("instance", registry_.current()->instance)
-        .Add("reason", ToString(outcome.reason))
-        .Add("sent", outcome.sent)
-        .Add("after_ms", (steady_clock::now() - entry.started) / milliseconds(1));
+    LogNoResponse(entry, outcome.reason, outcome.sent);
   }
   if (outcome.reason == ResultReason::kUpstreamUnreachable) {
     registry_.OnUnreachable();
@@ -207,16 +201,25 @@
 void LocalUpstream::OnDeadline(const CallId& id) {
   Entry& entry = entries_.at(id);
   if (entry.state != State::kRunning) return;
-  pool_.Cancel(entry.handle);
-  queue_.OnFinish(entry.key, std::nullopt);
+  LogNoResponse(entry, ResultReason::kTimeout, true);
+  Abort(id, &entry, ResultReason::kTimeout);
+}
+
+void LocalUpstream::LogNoResponse(const Entry& entry, ResultReason reason, bool sent) const {
   LogEvent(LogLevel::kInfo, "upstream", "no_response")
       .Add("request", entry.request_id)
       .Add("instance", registry_.current()->instance)
-      .Add("reason", ToString(ResultReason::kTimeout))
+      .Add("reason", ToString(reason))
+      .Add("sent", sent)
       .Add("after_ms", (steady_clock::now() - entry.started) / milliseconds(1));
-  CallResult result = NewResult(id, ResultKind::kUnknown, ResultReason::kTimeout);
+}
+
+void LocalUpstream::Abort(const CallId& id, Entry* entry, ResultReason reason) {
+  pool_.Cancel(entry->handle);
+  queue_.OnFinish(entry->key, std::nullopt);
+  CallResult result = NewResult(id, ResultKind::kUnknown, reason);
   result.reached_upstream = true;
-  Finish(id, &entry, std::move(result));
+  Finish(id, entry, std::move(result));
   Advance();
 }
 
@@ -297,12 +300,7 @@
     queue_.Withdraw(entry.key);
     Finish(id, &entry, NewResult(id, ResultKind::kNotRun, ResultReason::kCancelled));
   } else if (entry.state == State::kRunning && entry.idempotent) {
-    pool_.Cancel(entry.handle);
-    queue_.OnFinish(entry.key, std::nullopt);
-    CallResult result = NewResult(id, ResultKind::kUnknown, ResultReason::kCancelled);
-    result.reached_upstream = true;
-    Finish(id, &entry, std::move(result));
-    Advance();
+    Abort(id, &entry, ResultReason::kCancelled);
   }
 }
 
--- a/src/libsidecar/local_upstream.h
+++ b/src/libsidecar/local_upstream.h
@@ -37,8 +37,6 @@
   static constexpr size_t kMaxRetainedBytes = 4 << 20;
   /// Time that the upstream has beyond the deadline, since it answers at the deadline itself.
   static constexpr std::chrono::milliseconds kResponseSlack{150};
-  /// Share of the link that large responses get.
-  static constexpr double kEgressShare = 0.9;
   /// Weight of a new observation in the mean size of large responses.
   static constexpr double kBulkSizeGain = 0.05;
   /// Slots assumed until the upstream has told its own.
@@ -47,9 +45,9 @@
   /// `on_status` is called when the upstream starts or stops taking calls.
   LocalUpstream(event_base* base, const SidecarSettings& settings, std::function<void()> on_status);
 
-  /// Large responses share a link of `bytes_per_second`; `backlog` tells how many of their bytes
+  /// Large responses leave at `bytes_per_second`; `backlog` tells how many of their bytes
   /// wait for it. Calls are then admitted by the time to deliver their response, too.
-  void SetEgress(size_t bytes_per_second, std::function<size_t()> backlog);
+  void SetEgress(double bytes_per_second, std::function<size_t()> backlog);
 
   /// Takes a report of the upstream. Returns what it changed.
   UpstreamRegistry::Change Apply(const UpstreamReport& report);
@@ -103,6 +101,9 @@
   void OnDeadline(const CallId& id);
   void Finish(const CallId& id, Entry* entry, CallResult result);
   void Refuse(const CallId& id, ResultReason reason);
+  /// Closes the connection of a running call, of which the outcome is then unknown.
+  void Abort(const CallId& id, Entry* entry, ResultReason reason);
+  void LogNoResponse(const Entry& entry, ResultReason reason, bool sent) const;
   void Advance();
   void ForgetOld();
   CallResult NewResult(const CallId& id, ResultKind kind, ResultReason reason) const;
@@ -119,7 +120,7 @@
   UpstreamPool pool_;
   Timer expiry_timer_;
   Timer queue_timer_;
-  size_t egress_rate_ = 0;
+  double egress_rate_ = 0;
   std::function<size_t()> egress_backlog_;
   /// Large responses that are expected from waiting and running calls, and their mean size.
   size_t bulk_active_ = 0;
--- a/src/libsidecar/peer_listener.cc
+++ b/src/libsidecar/peer_listener.cc
@@ -1,13 +1,10 @@
 #include "libsidecar/peer_listener.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <algorithm>
 #include <cerrno>
 #include <utility>
 
-#include "libbase/log.h"
+#include "libbase/socket_address.h"
 
 namespace camphorhoist {
 
@@ -16,13 +13,10 @@
 ListenerPtr Listen(event_base* base, const NetAddress& address, evconnlistener_cb on_accept,
                    void* arg, std::error_code* ec) {
   constexpr int kBacklog = 512;
-  sockaddr_in sin{};
-  sin.sin_family = AF_INET;
-  sin.sin_port = htons(address.port());
-  inet_pton(AF_INET, address.ip().c_str(), &sin.sin_addr);
+  sockaddr_in name = ToSockaddr(address);
   ListenerPtr listener(evconnlistener_new_bind(base, on_accept, arg,
                                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, kBacklog,
-                                               reinterpret_cast<sockaddr*>(&sin), sizeof(sin)));
+                                               reinterpret_cast<sockaddr*>(&name), sizeof(name)));
   if (listener == nullptr) *ec = std::error_code(errno, std::generic_category());
   return listener;
 }
@@ -93,8 +87,7 @@
     const uint64_t source = bulk_waiting_.front().first;
     CallResult result = std::move(bulk_waiting_.front().second);
     bulk_waiting_.pop_front();
-    const std::chrono::duration<double> time(static_cast<double>(result.body.size()) /
-                                             (kBulkShare * static_cast<double>(link_)));
+    const std::chrono::duration<double> time(static_cast<double>(result.body.size()) / bulk_rate());
     bulk_free_ = now + std::chrono::duration_cast<steady_clock::duration>(time);
     streams_.at(source)->Send(std::move(result));
   }
--- a/src/libsidecar/peer_listener.h
+++ b/src/libsidecar/peer_listener.h
@@ -54,6 +54,8 @@
   /// Bytes of large responses that wait for the link.
   size_t bulk_backlog() const;
   bool orders_bulk() const { return link_ < kMaxOrderedLink; }
+  /// Bytes of large responses per second.
+  double bulk_rate() const { return kBulkShare * static_cast<double>(link_); }
   /// Tells all connected sidecars of a change of the upstream.
   void Announce(const UpstreamStatus& status);
 
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -47,7 +47,7 @@
       peer_listener_(
           base, &local_, settings_.link_bytes_per_second,
           {[this] { return NewHello(); }, [this](const PeerHello& hello) { OnPeerHello(hello); },
-           [this] { return NewHello().config_version; }}),
+           [this] { return config_version(); }}),
       caller_listener_(base, &dispatcher_, &metrics_),
       ready_server_(base, [this](const ControlRequest& request) { return HandleReady(request); }),
       announce_server_(
@@ -65,13 +65,11 @@
               [this](const std::string& node) { directory_.Unlist(node); },
               [this](const SidecarEntry& entry) {
                 for (const UpstreamDeparture& it : entry.departures) local_.Restore(it);
-                const auto& departures = local_.registry().departures();
-                store_.SetDepartures({departures.begin(), departures.end()});
+                RecordDepartures();
               }}),
       stop_timer_(base, [this] { ContinueStop(); }) {
   if (peer_listener_.orders_bulk()) {
-    local_.SetEgress(settings_.link_bytes_per_second,
-                     [this] { return peer_listener_.bulk_backlog(); });
+    local_.SetEgress(peer_listener_.bulk_rate(), [this] { return peer_listener_.bulk_backlog(); });
   }
   directory_.AddSelf(settings_.node, settings_.data_centre);
 }
@@ -99,13 +97,22 @@
   return true;
 }
 
+uint64_t Sidecar::config_version() const {
+  return dispatcher_.config() == nullptr ? 0 : dispatcher_.config()->version();
+}
+
+void Sidecar::RecordDepartures() {
+  const auto& departures = local_.registry().departures();
+  store_.SetDepartures({departures.begin(), departures.end()});
+}
+
 PeerHello Sidecar::NewHello() const {
   PeerHello hello;
   hello.node = settings_.node;
   hello.incarnation = incarnation_;
   hello.data_centre = settings_.data_centre;
   hello.address = settings_.peer_listen.ToString();
-  hello.config_version = dispatcher_.config() == nullptr ? 0 : dispatcher_.config()->version();
+  hello.config_version = config_version();
   hello.upstream = local_.status();
   return hello;
 }
@@ -175,21 +182,21 @@
         .Add("sequence", report->sequence)
         .Add("state", static_cast<int>(report->state))
         .Add("change", ToString(change));
-    const auto& departures = local_.registry().departures();
-    store_.SetDepartures({departures.begin(), departures.end()});
+    RecordDepartures();
   }
   return {kOk, "application/json", "{}"};
 }
 
 ControlResponse Sidecar::HandleMetrics(const ControlRequest& request) {
   if (request.path != "/metrics") return {kNotFound, "text/plain", ""};
-  metrics_.Set("config_version", static_cast<double>(NewHello().config_version));
+  metrics_.Set("config_version", static_cast<double>(config_version()));
   metrics_.Set("store_calls", static_cast<double>(store_.calls()));
   metrics_.Set("store_silence_seconds",
                std::chrono::duration<double>(steady_clock::now() - store_.last_contact()).count());
   metrics_.Set("upstream_connections_opened", static_cast<double>(local_.connections_opened()));
-  metrics_.Set("upstream_running", local_.load().running);
-  metrics_.Set("upstream_queued", local_.load().queued);
+  const ServerLoad load = local_.load();
+  metrics_.Set("upstream_running", load.running);
+  metrics_.Set("upstream_queued", load.queued);
   metrics_.Set("calls_active", static_cast<double>(dispatcher_.active()));
   metrics_.Set("caller_connections", static_cast<double>(caller_listener_.connections()));
   metrics_.Set("peers", static_cast<double>(directory_.size()));
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -49,6 +49,10 @@
 
  private:
   PeerHello NewHello() const;
+  /// Version in force; 0 before the first.
+  uint64_t config_version() const;
+  /// Has the starts of the upstream that left kept in the store.
+  void RecordDepartures();
   void OnUpstreamStatus();
   void OnPeerMessage(Peer* peer, PeerMessage message);
   void OnPeerHello(const PeerHello& hello);
--- a/src/libsidecar/store_sync.cc
+++ b/src/libsidecar/store_sync.cc
@@ -1,7 +1,6 @@
 #include "libsidecar/store_sync.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "camphorhoist/error.h"
@@ -202,7 +201,7 @@
                   for (const auto& it : changes.changes) {
                     if (it.object.name == own_.node) {
                       exists_ = !it.deleted;
-                      if (it.deleted && !withdrawn_) WriteEntry();
+                      if (it.deleted) WriteEntry();
                     } else if (it.deleted) {
                       handlers_.on_entry_gone(it.object.name);
                     } else {
@@ -230,7 +229,6 @@
 }
 
 void StoreSync::WriteEntry() {
-  if (withdrawn_) return;
   if (write_.busy) {
     write_again_ = true;
     return;
@@ -258,11 +256,4 @@
   if (std::exchange(write_again_, false)) WriteEntry();
 }
 
-void StoreSync::Withdraw(std::function<void()> done) {
-  withdrawn_ = true;
-  client_.Delete(
-      kEntryKind, own_.node,
-      [done = std::move(done)](std::error_code, const platform::StoredObject&) { done(); });
-}
-
 }  // namespace camphorhoist
--- a/src/libsidecar/store_sync.h
+++ b/src/libsidecar/store_sync.h
@@ -71,8 +71,6 @@
   /// Another sidecar runs this version. Reads the configuration if the watch does not tell of it
   /// within `kVersionPatience`.
   void OnVersionSeen(uint64_t version);
-  /// Removes the own entry.
-  void Withdraw(std::function<void()> done);
 
   /// The entries have been read and the own one is written.
   bool joined() const { return listed_ && written_; }
@@ -116,7 +114,6 @@
   bool listed_ = false;
   bool written_ = false;
   bool write_again_ = false;
-  bool withdrawn_ = false;
   bool store_down_ = false;
   std::chrono::steady_clock::time_point last_contact_;
 };
--- a/src/libsidecar/upstream_pool.cc
+++ b/src/libsidecar/upstream_pool.cc
@@ -1,12 +1,9 @@
 #include "libsidecar/upstream_pool.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
+#include "libbase/socket_address.h"
 #include "libbase/socket_options.h"
 #include "libcaller/http_headers.h"
 #include "libsidecar/http_text.h"
@@ -47,11 +44,8 @@
     bufferevent_set_max_single_read(bufev_.get(), kSocketReadBytes);
     const timeval tv = ToTimeval(kConnectTimeout);
     bufferevent_set_timeouts(bufev_.get(), nullptr, &tv);
-    sockaddr_in sin{};
-    sin.sin_family = AF_INET;
-    sin.sin_port = htons(pool_->upstream_.port());
-    inet_pton(AF_INET, pool_->upstream_.ip().c_str(), &sin.sin_addr);
-    bufferevent_socket_connect(bufev_.get(), reinterpret_cast<sockaddr*>(&sin), sizeof(sin));
+    sockaddr_in name = ToSockaddr(pool_->upstream_);
+    bufferevent_socket_connect(bufev_.get(), reinterpret_cast<sockaddr*>(&name), sizeof(name));
   }
 
   void Write() {
--- a/src/libupstream/upstream_exchange.cc
+++ b/src/libupstream/upstream_exchange.cc
@@ -1,6 +1,5 @@
 #include "libupstream/upstream_exchange.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -9,6 +8,7 @@
 #include <cstring>
 #include <utility>
 
+#include "libbase/socket_address.h"
 #include "libcaller/http_headers.h"
 
 namespace camphorhoist {
@@ -21,14 +21,6 @@
 constexpr const char* kReplacedHeaders[] = {"Content-Length", kCallIdHeader, kTimeoutHeader,
                                             kDepthHeader};
 
-sockaddr_in ToSockaddr(const NetAddress& address) {
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_port = htons(address.port());
-  inet_pton(AF_INET, address.ip().c_str(), &name.sin_addr);
-  return name;
-}
-
 bool IsReplaced(const std::string& name) {
   return std::any_of(std::begin(kReplacedHeaders), std::end(kReplacedHeaders),
                      [&name](const char* it) { return HeaderNameEquals(name, it); });
