--- a/include/camphorhoist/call_placement.h
+++ b/include/camphorhoist/call_placement.h
@@ -44,7 +44,7 @@
   /// Next offer, or nothing if the call has to be refused. `candidates`: all servers of the service
   /// that take calls. `zone`: the own one. `response_bytes`: expected size of the response.
   std::optional<Offer> Next(ProxyTime now, const std::string& zone, size_t response_bytes,
-                            const std::vector<ServerCandidate>& candidates, std::mt19937_64* rng);
+                            const ServerCandidates& candidates, std::mt19937_64* rng);
 
   /// The server would have needed `wait` before it could start the call.
   void OnBusy(const std::string& node, ProxyDuration wait);
@@ -52,7 +52,7 @@
   void OnFailed(const std::string& node);
 
   /// Whether a server is left that has not failed the call.
-  bool HasAlternative(const std::vector<ServerCandidate>& candidates) const;
+  bool HasAlternative(const ServerCandidates& candidates) const;
   /// Whether the refusal is due to load.
   bool overloaded() const { return !busy_.empty(); }
   int offers() const { return offers_; }
@@ -61,8 +61,7 @@
   ProxyDuration RetryAfter(ProxyDuration left) const;
 
  private:
-  std::vector<size_t> Eligible(const std::vector<ServerCandidate>& candidates,
-                               bool with_busy) const;
+  std::vector<size_t> Eligible(const ServerCandidates& candidates, bool with_busy) const;
 
   int offers_ = 0;
   /// The offer under way accepts any wait.
--- a/include/camphorhoist/server_picker.h
+++ b/include/camphorhoist/server_picker.h
@@ -30,6 +30,9 @@
   double failure_share = 0;
 };
 
+/// Servers that a call can be offered to. The pointers are valid for the time of one decision.
+using ServerCandidates = std::vector<const ServerCandidate*>;
+
 /// Chooses the server of a call by its expected completion: reported queue and own calls since the
 /// report, speed of the server, distance. Reports are late by the time since the last response, so
 /// the sidecar beside the server has the last word: it declines an offer whose wait is longer than
@@ -65,8 +68,7 @@
 
   /// Best two of `candidates`, best first. `zone`: the own one. `response_bytes`: expected size.
   static std::vector<Choice> Rank(ProxyTime now, const std::string& zone, size_t response_bytes,
-                                  const std::vector<ServerCandidate>& candidates,
-                                  std::mt19937_64* rng);
+                                  const ServerCandidates& candidates, std::mt19937_64* rng);
   /// Takes a new report of a server's load.
   static void Report(ProxyTime now, const ServerLoad& load, ServerCandidate* candidate);
   /// Wait and service time that a call offered now is expected to have.
--- a/src/libproxy/call_placement.cc
+++ b/src/libproxy/call_placement.cc
@@ -4,24 +4,25 @@
 
 namespace camphorhoist {
 
-std::vector<size_t> CallPlacement::Eligible(const std::vector<ServerCandidate>& candidates,
+std::vector<size_t> CallPlacement::Eligible(const ServerCandidates& candidates,
                                             bool with_busy) const {
   std::vector<size_t> eligible;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    if (failed_.count(candidates[i].node) != 0) continue;
-    if (!with_busy && busy_.count(candidates[i].node) != 0) continue;
+    if (failed_.count(candidates[i]->node) != 0) continue;
+    if (!with_busy && busy_.count(candidates[i]->node) != 0) continue;
     eligible.push_back(i);
   }
   return eligible;
 }
 
-bool CallPlacement::HasAlternative(const std::vector<ServerCandidate>& candidates) const {
+bool CallPlacement::HasAlternative(const ServerCandidates& candidates) const {
   return !Eligible(candidates, true).empty();
 }
 
-std::optional<CallPlacement::Offer> CallPlacement::Next(
-    ProxyTime now, const std::string& zone, size_t response_bytes,
-    const std::vector<ServerCandidate>& candidates, std::mt19937_64* rng) {
+std::optional<CallPlacement::Offer> CallPlacement::Next(ProxyTime now, const std::string& zone,
+                                                        size_t response_bytes,
+                                                        const ServerCandidates& candidates,
+                                                        std::mt19937_64* rng) {
   std::vector<size_t> eligible = Eligible(candidates, false);
   const bool last_round = offers_ >= kMaxOffers || eligible.empty();
   if (last_round) {
@@ -29,12 +30,12 @@
     eligible = Eligible(candidates, true);
     if (eligible.empty()) return std::nullopt;
   }
-  std::vector<ServerCandidate> servers;
+  ServerCandidates servers;
   servers.reserve(eligible.size());
   for (const size_t i : eligible) servers.push_back(candidates[i]);
   const std::vector<ServerPicker::Choice> choices =
       ServerPicker::Rank(now, zone, response_bytes, servers, rng);
-  const ServerCandidate& best = servers[choices[0].index];
+  const ServerCandidate& best = *servers[choices[0].index];
   ++offers_;
   Offer offer;
   offer.index = eligible[choices[0].index];
--- a/src/libproxy/call_placement_test.cc
+++ b/src/libproxy/call_placement_test.cc
@@ -12,6 +12,12 @@
 
 const ProxyTime kNow = ProxyTime() + std::chrono::hours(1);
 
+ServerCandidates Pointers(const std::vector<ServerCandidate>& candidates) {
+  ServerCandidates pointers;
+  for (const ServerCandidate& it : candidates) pointers.push_back(&it);
+  return pointers;
+}
+
 ServerCandidate Candidate(const std::string& node, const std::string& zone, uint32_t running,
                           int service_ms = 50) {
   ServerCandidate candidate;
@@ -44,7 +50,7 @@
                                                      Candidate("free", "b", 0)};
     for (int i = 0; i < 50; ++i) {
       CallPlacement placement;
-      const auto offer = placement.Next(kNow, "a", 1500, candidates, &rng);
+      const auto offer = placement.Next(kNow, "a", 1500, Pointers(candidates), &rng);
       CPPUNIT_ASSERT_EQUAL(size_t{1}, offer->index);
       CPPUNIT_ASSERT(offer->max_wait < CallPlacement::kAnyWait);
     }
@@ -60,9 +66,12 @@
                                                Candidate("far", "b", 0, 40)};
     constexpr size_t kLarge = 100000;
     for (int i = 0; i < 50; ++i) {
-      CPPUNIT_ASSERT_EQUAL(size_t{0}, CallPlacement().Next(kNow, "a", kLarge, slower, &rng)->index);
-      CPPUNIT_ASSERT_EQUAL(size_t{1}, CallPlacement().Next(kNow, "a", kLarge, full, &rng)->index);
-      CPPUNIT_ASSERT_EQUAL(size_t{1}, CallPlacement().Next(kNow, "a", 1000, slower, &rng)->index);
+      CPPUNIT_ASSERT_EQUAL(size_t{0},
+                           CallPlacement().Next(kNow, "a", kLarge, Pointers(slower), &rng)->index);
+      CPPUNIT_ASSERT_EQUAL(size_t{1},
+                           CallPlacement().Next(kNow, "a", kLarge, Pointers(full), &rng)->index);
+      CPPUNIT_ASSERT_EQUAL(size_t{1},
+                           CallPlacement().Next(kNow, "a", 1000, Pointers(slower), &rng)->index);
     }
   }
 
@@ -75,17 +84,17 @@
     CallPlacement placement;
     std::set<size_t> asked;
     for (int i = 0; i < 3; ++i) {
-      const auto offer = placement.Next(kNow, "a", 1500, candidates, &rng);
+      const auto offer = placement.Next(kNow, "a", 1500, Pointers(candidates), &rng);
       CPPUNIT_ASSERT(offer.has_value());
       asked.insert(offer->index);
       placement.OnBusy(candidates[offer->index].node, milliseconds(100 + 50 * i));
     }
     CPPUNIT_ASSERT_EQUAL(size_t{3}, asked.size());
-    const auto last = placement.Next(kNow, "a", 1500, candidates, &rng);
+    const auto last = placement.Next(kNow, "a", 1500, Pointers(candidates), &rng);
     CPPUNIT_ASSERT(last.has_value());
     CPPUNIT_ASSERT(last->max_wait == CallPlacement::kAnyWait);
     placement.OnBusy(candidates[last->index].node, milliseconds(300));
-    CPPUNIT_ASSERT(!placement.Next(kNow, "a", 1500, candidates, &rng).has_value());
+    CPPUNIT_ASSERT(!placement.Next(kNow, "a", 1500, Pointers(candidates), &rng).has_value());
     CPPUNIT_ASSERT(placement.overloaded());
   }
 
@@ -95,14 +104,14 @@
     const std::vector<ServerCandidate> candidates = {Candidate("x", "a", 0),
                                                      Candidate("y", "a", 0)};
     CallPlacement placement;
-    const auto first = placement.Next(kNow, "a", 1500, candidates, &rng);
+    const auto first = placement.Next(kNow, "a", 1500, Pointers(candidates), &rng);
     placement.OnFailed(candidates[first->index].node);
-    CPPUNIT_ASSERT(placement.HasAlternative(candidates));
-    const auto second = placement.Next(kNow, "a", 1500, candidates, &rng);
+    CPPUNIT_ASSERT(placement.HasAlternative(Pointers(candidates)));
+    const auto second = placement.Next(kNow, "a", 1500, Pointers(candidates), &rng);
     CPPUNIT_ASSERT(second->index != first->index);
     placement.OnFailed(candidates[second->index].node);
-    CPPUNIT_ASSERT(!placement.HasAlternative(candidates));
-    CPPUNIT_ASSERT(!placement.Next(kNow, "a", 1500, candidates, &rng).has_value());
+    CPPUNIT_ASSERT(!placement.HasAlternative(Pointers(candidates)));
+    CPPUNIT_ASSERT(!placement.Next(kNow, "a", 1500, Pointers(candidates), &rng).has_value());
     CPPUNIT_ASSERT(!placement.overloaded());
   }
 
@@ -114,7 +123,8 @@
     candidates[0].failure_share = 0.45;
     int chosen = 0;
     for (int i = 0; i < 100; ++i) {
-      chosen += CallPlacement().Next(kNow, "a", 1500, candidates, &rng)->index == 1 ? 1 : 0;
+      chosen +=
+          CallPlacement().Next(kNow, "a", 1500, Pointers(candidates), &rng)->index == 1 ? 1 : 0;
     }
     CPPUNIT_ASSERT(chosen > 90);
   }
@@ -127,7 +137,7 @@
                                                      Candidate("3", "a", 2)};
     std::vector<int> count(4, 0);
     for (int i = 0; i < 400; ++i) {
-      ++count[CallPlacement().Next(kNow, "a", 1500, candidates, &rng)->index];
+      ++count[CallPlacement().Next(kNow, "a", 1500, Pointers(candidates), &rng)->index];
     }
     for (const int n : count) CPPUNIT_ASSERT(n > 50 && n < 150);
   }
@@ -142,10 +152,10 @@
     int large_to_free = 0;
     int small_to_free = 0;
     for (int i = 0; i < 50; ++i) {
-      large_to_free +=
-          static_cast<int>(CallPlacement().Next(kNow, "a", 90000, candidates, &rng)->index);
+      large_to_free += static_cast<int>(
+          CallPlacement().Next(kNow, "a", 90000, Pointers(candidates), &rng)->index);
       small_to_free +=
-          static_cast<int>(CallPlacement().Next(kNow, "a", 900, candidates, &rng)->index);
+          static_cast<int>(CallPlacement().Next(kNow, "a", 900, Pointers(candidates), &rng)->index);
     }
     CPPUNIT_ASSERT_EQUAL(50, large_to_free);
     CPPUNIT_ASSERT(small_to_free < 50);
--- a/src/libproxy/server_picker.cc
+++ b/src/libproxy/server_picker.cc
@@ -40,7 +40,7 @@
 
 std::vector<ServerPicker::Choice> ServerPicker::Rank(ProxyTime now, const std::string& zone,
                                                      size_t response_bytes,
-                                                     const std::vector<ServerCandidate>& candidates,
+                                                     const ServerCandidates& candidates,
                                                      std::mt19937_64* rng) {
   const ProxyDuration other_zone =
       kOtherZoneCost + FromMicros(kOtherZoneMicrosPerByte * static_cast<double>(response_bytes));
@@ -48,7 +48,7 @@
   choices.reserve(candidates.size());
   std::uniform_real_distribution<double> jitter(0, kJitterShare);
   for (size_t i = 0; i < candidates.size(); ++i) {
-    const ServerCandidate& it = candidates[i];
+    const ServerCandidate& it = *candidates[i];
     ProxyDuration cost = ExpectedCompletion(now, it);
     cost += FromMicros(jitter(*rng) * static_cast<double>(it.load.service_time.count()));
     if (it.zone != zone) cost += other_zone;
--- a/src/libproxy/testing/load_replay.cc
+++ b/src/libproxy/testing/load_replay.cc
@@ -159,8 +159,10 @@
 
   void Place(const std::shared_ptr<Attempt>& attempt) {
     auto& view = views_[attempt->sender];
+    ServerCandidates candidates;
+    for (const ServerCandidate& it : view) candidates.push_back(&it);
     const auto offer = attempt->placement.Next(At(clock_.now()), ZoneOf(attempt->sender),
-                                               kResponseBytes, view, &rng_);
+                                               kResponseBytes, candidates, &rng_);
     if (!offer) return Refused(attempt);
     ++offers_;
     ++view[offer->index].offered_since;
--- a/src/libsidecar/caller_connection.cc
+++ b/src/libsidecar/caller_connection.cc
@@ -42,6 +42,7 @@
 
 CallerConnection::~CallerConnection() {
   if (call_ != 0) owner_->dispatcher()->Cancel(call_);
+  if (paced_ != 0) owner_->pacer()->Drop(paced_);
 }
 
 bool CallerConnection::idle() const {
@@ -51,6 +52,7 @@
 
 void CallerConnection::Close() {
   if (call_ != 0) owner_->dispatcher()->Cancel(std::exchange(call_, 0));
+  if (paced_ != 0) owner_->pacer()->Drop(std::exchange(paced_, 0));
   state_ = State::kClosing;
   timer_.Stop();
   bufferevent_disable(bufev_.get(), EV_READ | EV_WRITE);
@@ -64,6 +66,7 @@
     case State::kReading:
       return self->Parse();
     case State::kCalling:
+    case State::kResponding:
       // Keeps reading, to notice when the caller leaves, but holds only so much.
       if (evbuffer_get_length(input) > kMaxReadAhead) bufferevent_disable(bufev, EV_READ);
       return;
@@ -152,8 +155,27 @@
 
 void CallerConnection::Respond(const CallerResponse& response) {
   const bool close = !keep_alive_ || !owner_->keep_alive();
+  if (owner_->pacer()->active() && response.body.size() >= LinkPacer::kLargeMessage) {
+    EvbufferPtr bytes(evbuffer_new());
+    AppendResponse(response.status, response.headers, response.body, close, bytes.get());
+    return SendPaced(std::move(bytes), close);
+  }
   AppendResponse(response.status, response.headers, response.body, close,
                  bufferevent_get_output(bufev_.get()));
+  EndCall(close);
+}
+
+void CallerConnection::SendPaced(EvbufferPtr response, bool close) {
+  state_ = State::kResponding;
+  paced_ = owner_->pacer()->Send(std::move(response), [this, close](evbuffer* part, bool last) {
+    evbuffer_add_buffer(bufferevent_get_output(bufev_.get()), part);
+    if (!last) return;
+    paced_ = 0;
+    EndCall(close);
+  });
+}
+
+void CallerConnection::EndCall(bool close) {
   if (close) return CloseAfterWrite();
   state_ = State::kReading;
   ArmTimer();
--- a/src/libsidecar/caller_connection.h
+++ b/src/libsidecar/caller_connection.h
@@ -33,7 +33,13 @@
   void Close();
 
  private:
-  enum class State : uint8_t { kReading, kCalling, kClosing };
+  enum class State : uint8_t {
+    kReading,
+    kCalling,
+    /// A large response is being sent in parts.
+    kResponding,
+    kClosing,
+  };
 
   static void OnRead(bufferevent* bufev, void* arg);
   static void OnWritten(bufferevent* bufev, void* arg);
@@ -54,6 +60,9 @@
   void RejectRequest(int status);
   void BeginCall();
   void Respond(const CallerResponse& response);
+  void SendPaced(EvbufferPtr response, bool close);
+  /// The whole response was written.
+  void EndCall(bool close);
   void CloseAfterWrite();
   void ArmTimer();
   void OnTimeout();
@@ -71,6 +80,8 @@
   size_t head_bytes_ = 0;
   CallerRequest request_;
   Dispatcher::Handle call_ = 0;
+  /// Response that waits for the link; 0 for none.
+  LinkPacer::Ticket paced_ = 0;
   Timer timer_;
   BuffereventPtr bufev_;
 };
--- a/src/libsidecar/caller_listener.cc
+++ b/src/libsidecar/caller_listener.cc
@@ -6,9 +6,11 @@
 
 namespace camphorhoist {
 
-CallerListener::CallerListener(event_base* base, Dispatcher* dispatcher, SidecarMetrics* metrics)
+CallerListener::CallerListener(event_base* base, Dispatcher* dispatcher, LinkPacer* pacer,
+                               SidecarMetrics* metrics)
     : base_(base),
       dispatcher_(dispatcher),
+      pacer_(pacer),
       metrics_(metrics),
       cleanup_(base, [this] { released_.clear(); }) {}
 
--- a/src/libsidecar/caller_listener.h
+++ b/src/libsidecar/caller_listener.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "libsidecar/dispatcher.h"
+#include "libsidecar/link_pacer.h"
 #include "libsidecar/peer_listener.h"
 
 namespace camphorhoist {
@@ -22,7 +23,8 @@
 class CallerListener {
  public:
   /// Precondition: the pointers outlive the listener.
-  CallerListener(event_base* base, Dispatcher* dispatcher, SidecarMetrics* metrics);
+  CallerListener(event_base* base, Dispatcher* dispatcher, LinkPacer* pacer,
+                 SidecarMetrics* metrics);
   ~CallerListener();
   CallerListener(const CallerListener&) = delete;
   CallerListener& operator=(const CallerListener&) = delete;
@@ -38,6 +40,7 @@
 
   event_base* base() const { return base_; }
   Dispatcher* dispatcher() const { return dispatcher_; }
+  LinkPacer* pacer() const { return pacer_; }
   SidecarMetrics* metrics() const { return metrics_; }
   const ClientLimits& limits() const;
   /// Destroys a connection in a later turn of the loop.
@@ -48,6 +51,7 @@
 
   event_base* base_;
   Dispatcher* dispatcher_;
+  LinkPacer* pacer_;
   SidecarMetrics* metrics_;
   ListenerPtr listener_;
   bool keep_alive_ = true;
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -123,16 +123,15 @@
   return handle;
 }
 
-std::vector<ServerCandidate> Dispatcher::Candidates(const std::string& service) const {
+ServerCandidates Dispatcher::Candidates(const std::string& service) const {
   const auto now = steady_clock::now();
-  std::vector<ServerCandidate> candidates;
+  ServerCandidates candidates;
   for (const auto& [node, peer] : directory_->peers()) {
     const UpstreamStatus& status = peer->status;
     if (!status.ready || status.service != service || !peer->usable()) continue;
-    ServerCandidate candidate = peer->view;
-    candidate.warm_up = status.warm_up;
-    candidate.failure_share = FailureShare(*peer, now);
-    candidates.push_back(std::move(candidate));
+    peer->view.warm_up = status.warm_up;
+    peer->view.failure_share = FailureShare(*peer, now);
+    candidates.push_back(&peer->view);
   }
   return candidates;
 }
@@ -151,17 +150,18 @@
 }
 
 void Dispatcher::Place(Call* call) {
-  const std::vector<ServerCandidate> candidates = Candidates(call->service);
+  const ServerCandidates candidates = Candidates(call->service);
   const auto expected = static_cast<size_t>(response_bytes_[call->profile]);
   const std::optional<CallPlacement::Offer> offer = call->placement.Next(
       steady_clock::now(), settings_->data_centre, expected, candidates, &rng_);
   if (!offer) return Refuse(call, call->placement.overloaded() ? "overload" : "no_server");
-  Offer(call, directory_->Find(candidates[offer->index].node), offer->max_wait);
+  Offer(call, directory_->Find(candidates[offer->index]->node), offer->max_wait);
 }
 
 void Dispatcher::Offer(Call* call, Peer* peer, ProxyDuration max_wait) {
   ++peer->view.offered_since;
   call->offer_id = CallId(incarnation_, next_offer_++);
+  call->offered = steady_clock::now();
   call->node = peer->node;
   call->node_incarnation = peer->incarnation;
   call->lost = false;
@@ -387,6 +387,16 @@
   const auto it = calls_.find(handle);
   if (it == calls_.end()) return;
   Call* call = it->second.get();
+  LogEvent(LogLevel::kInfo, "call", "cancelled")
+      .Add("request", call->request_id)
+      .Add("nested", call->nested)
+      .Add("service", call->service)
+      .Add("node", call->node)
+      .Add("offers", call->placement.offers())
+      .Add("held_ms",
+           Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->arrived)))
+      .Add("offered_ms",
+           Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->offered)));
   CancelOffer(call);
   metrics_->Count("cancelled_total");
   calls_.erase(it);
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -91,6 +91,8 @@
     std::string service;
     uint64_t profile = 0;
     ProxyTime arrived{};
+    /// Time of the last offer.
+    ProxyTime offered{};
     ProxyTime deadline{};
     ProxyTime objective{};
     /// Offer under way, and the sidecar it was made to.
@@ -109,7 +111,7 @@
   const std::string& ChooseService(const MeshRoute& route);
   ProxyDuration TimeSpent(uint64_t profile, ProxyDuration timeout);
   void Place(Call* call);
-  std::vector<ServerCandidate> Candidates(const std::string& service) const;
+  ServerCandidates Candidates(const std::string& service) const;
   void Offer(Call* call, Peer* peer, ProxyDuration max_wait);
   void SendOffer(Call* call, Peer* peer, ProxyDuration max_wait);
   void OnNotRun(Call* call, Peer* peer, const CallResult& result);
--- a/src/libsidecar/peer.capnp
+++ b/src/libsidecar/peer.capnp
@@ -46,6 +46,15 @@
   upstream @5 :Upstream;
   # The connection carries calls with large responses.
   bulk @6 :Bool;
+  storeLost @7 :Bool;
+}
+
+# What a sidecar that follows the store knows of it.
+struct StoreStatus {
+  # Newest version that it has read.
+  configVersion @0 :UInt64;
+  # The store does not answer it.
+  lost @1 :Bool;
 }
 
 # The body follows the frame's message.
@@ -93,5 +102,8 @@
     upstream @4 :Upstream;
     ping @5 :UInt64;
     pong @6 :UInt64;
+    storeStatus @7 :StoreStatus;
+    # The store has no entry of the receiver.
+    entryMissing @8 :Void;
   }
 }
--- a/src/libsidecar/peer.capnp.h
+++ b/src/libsidecar/peer.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(cbe093b83c6a55dc);
 CAPNP_DECLARE_SCHEMA(e18b6ffe674fd1f9);
 CAPNP_DECLARE_SCHEMA(87b18b55251da988);
+CAPNP_DECLARE_SCHEMA(bdc5efd493fc873c);
 CAPNP_DECLARE_SCHEMA(a55eb2e64aa6c1cb);
 CAPNP_DECLARE_SCHEMA(af9faef0ddf7d986);
 CAPNP_DECLARE_SCHEMA(a52fb5302feccdac);
@@ -106,6 +107,21 @@
   };
 };
 
+struct StoreStatus {
+  StoreStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bdc5efd493fc873c, 2, 0)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
 struct Offer {
   Offer() = delete;
 
@@ -150,6 +166,8 @@
     UPSTREAM,
     PING,
     PONG,
+    STORE_STATUS,
+    ENTRY_MISSING,
   };
 
   struct _capnpPrivate {
@@ -573,6 +591,8 @@
 
   inline bool getBulk() const;
 
+  inline bool getStoreLost() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -638,6 +658,9 @@
   inline bool getBulk();
   inline void setBulk(bool value);
 
+  inline bool getStoreLost();
+  inline void setStoreLost(bool value);
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -666,6 +689,85 @@
 };
 #endif  // !CAPNP_LITE
 
+class StoreStatus::Reader {
+ public:
+  typedef StoreStatus Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline ::uint64_t getConfigVersion() const;
+
+  inline bool getLost() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoreStatus::Builder {
+ public:
+  typedef StoreStatus Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline ::uint64_t getConfigVersion();
+  inline void setConfigVersion(::uint64_t value);
+
+  inline bool getLost();
+  inline void setLost(bool value);
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreStatus::Pipeline {
+ public:
+  typedef StoreStatus Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Offer::Reader {
  public:
   typedef Offer Reads;
@@ -1036,6 +1138,13 @@
   inline bool isPong() const;
   inline ::uint64_t getPong() const;
 
+  inline bool isStoreStatus() const;
+  inline bool hasStoreStatus() const;
+  inline ::camphorhoist::peer::StoreStatus::Reader getStoreStatus() const;
+
+  inline bool isEntryMissing() const;
+  inline ::capnp::Void getEntryMissing() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1113,6 +1222,18 @@
   inline ::uint64_t getPong();
   inline void setPong(::uint64_t value);
 
+  inline bool isStoreStatus();
+  inline bool hasStoreStatus();
+  inline ::camphorhoist::peer::StoreStatus::Builder getStoreStatus();
+  inline void setStoreStatus(::camphorhoist::peer::StoreStatus::Reader value);
+  inline ::camphorhoist::peer::StoreStatus::Builder initStoreStatus();
+  inline void adoptStoreStatus(::capnp::Orphan<::camphorhoist::peer::StoreStatus>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::StoreStatus> disownStoreStatus();
+
+  inline bool isEntryMissing();
+  inline ::capnp::Void getEntryMissing();
+  inline void setEntryMissing(::capnp::Void value = ::capnp::VOID);
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1573,6 +1694,39 @@
   _builder.setDataField<bool>(::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Hello::Reader::getStoreLost() const {
+  return _reader.getDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getStoreLost() {
+  return _builder.getDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setStoreLost(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t StoreStatus::Reader::getConfigVersion() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t StoreStatus::Builder::getConfigVersion() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StoreStatus::Builder::setConfigVersion(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool StoreStatus::Reader::getLost() const {
+  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool StoreStatus::Builder::getLost() {
+  return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void StoreStatus::Builder::setLost(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Offer::Reader::hasId() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -2336,6 +2490,73 @@
   _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Frame::Reader::isStoreStatus() const { return which() == Frame::STORE_STATUS; }
+inline bool Frame::Builder::isStoreStatus() { return which() == Frame::STORE_STATUS; }
+inline bool Frame::Reader::hasStoreStatus() const {
+  if (which() != Frame::STORE_STATUS) return false;
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasStoreStatus() {
+  if (which() != Frame::STORE_STATUS) return false;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::StoreStatus::Reader Frame::Reader::getStoreStatus() const {
+  KJ_IREQUIRE((which() == Frame::STORE_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::StoreStatus>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::StoreStatus::Builder Frame::Builder::getStoreStatus() {
+  KJ_IREQUIRE((which() == Frame::STORE_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::StoreStatus>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setStoreStatus(::camphorhoist::peer::StoreStatus::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::STORE_STATUS);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::StoreStatus>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::StoreStatus::Builder Frame::Builder::initStoreStatus() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::STORE_STATUS);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::StoreStatus>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptStoreStatus(
+    ::capnp::Orphan<::camphorhoist::peer::StoreStatus>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::STORE_STATUS);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::StoreStatus>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::StoreStatus> Frame::Builder::disownStoreStatus() {
+  KJ_IREQUIRE((which() == Frame::STORE_STATUS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::StoreStatus>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isEntryMissing() const { return which() == Frame::ENTRY_MISSING; }
+inline bool Frame::Builder::isEntryMissing() { return which() == Frame::ENTRY_MISSING; }
+inline ::capnp::Void Frame::Reader::getEntryMissing() const {
+  KJ_IREQUIRE((which() == Frame::ENTRY_MISSING),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::capnp::Void Frame::Builder::getEntryMissing() {
+  KJ_IREQUIRE((which() == Frame::ENTRY_MISSING),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setEntryMissing(::capnp::Void value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ENTRY_MISSING);
+  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace peer
 }  // namespace camphorhoist
 
--- a/src/libsidecar/peer_directory.cc
+++ b/src/libsidecar/peer_directory.cc
@@ -9,7 +9,23 @@
 using std::chrono::steady_clock;
 
 PeerDirectory::PeerDirectory(event_base* base, Handlers handlers)
-    : base_(base), handlers_(std::move(handlers)), cleanup_(base, [this] { removed_.clear(); }) {}
+    : base_(base),
+      handlers_(std::move(handlers)),
+      cleanup_(base, [this] { removed_.clear(); }),
+      check_timer_(base, [this] { CheckLinks(); }) {
+  check_timer_.StartPeriodic(PeerLink::kPingInterval);
+}
+
+void PeerDirectory::CheckLinks() {
+  // A link that closes may remove its peer, which is destroyed in a later turn.
+  std::vector<PeerLink*> links;
+  for (const auto& [node, peer] : peers_) {
+    if (peer->local()) continue;
+    links.push_back(peer->link.get());
+    links.push_back(peer->bulk_link.get());
+  }
+  for (PeerLink* it : links) it->CheckSilence();
+}
 
 void PeerDirectory::AddSelf(const std::string& node, const std::string& data_centre) {
   auto peer = std::make_unique<Peer>();
@@ -110,6 +126,7 @@
   peer->view.zone = hello.data_centre;
   peer->incarnation = hello.incarnation;
   peer->status = hello.upstream;
+  peer->store_lost = hello.store_lost;
   UpdateLoad(peer, hello.upstream.load);
   peer->bulk_link->RetryNow();
   handlers_.on_up(peer);
--- a/src/libsidecar/peer_directory.h
+++ b/src/libsidecar/peer_directory.h
@@ -28,6 +28,8 @@
   ProxyTime failure_time{};
   /// Has an entry in the store.
   bool listed = false;
+  /// It has said that the store does not answer it.
+  bool store_lost = false;
   /// Both are null for this sidecar itself.
   std::unique_ptr<PeerLink> link;
   /// Bulk responses have a connection of their own, so that short ones do not wait behind them.
@@ -77,6 +79,7 @@
   void OnUp(Peer* peer, const PeerHello& hello);
   void OnDown(Peer* peer, bool gone, const std::string& reason);
   void Remove(const std::string& node);
+  void CheckLinks();
 
   event_base* base_;
   Handlers handlers_;
@@ -85,6 +88,8 @@
   /// Removed from inside one of their handlers.
   std::vector<std::unique_ptr<Peer>> removed_;
   Timer cleanup_;
+  /// One timer for all links; a timer each would wake the process many times as often.
+  Timer check_timer_;
 };
 
 }  // namespace camphorhoist
--- a/src/libsidecar/peer_link.cc
+++ b/src/libsidecar/peer_link.cc
@@ -13,8 +13,7 @@
       address_(std::move(address)),
       silence_limit_(silence_limit),
       handlers_(std::move(handlers)),
-      retry_timer_(base, [this] { Connect(); }),
-      ping_timer_(base, [this] { CheckSilence(); }) {
+      retry_timer_(base, [this] { Connect(); }) {
   Connect();
 }
 
@@ -25,8 +24,7 @@
     connected_ = true;
     stream_->Send(handlers_.hello());
     // The peer answers with its own hello; a frozen process does not.
-    last_received_ = steady_clock::now();
-    ping_timer_.StartPeriodic(kPingInterval);
+    watched_since_ = steady_clock::now();
   };
   handlers.on_message = [this](PeerMessage message) { OnMessage(std::move(message)); };
   handlers.on_closed = [this](const std::string& reason) { OnClosed(reason); };
@@ -34,12 +32,10 @@
 }
 
 void PeerLink::OnMessage(PeerMessage message) {
-  last_received_ = steady_clock::now();
   if (std::holds_alternative<PeerPong>(message)) return;
   if (const auto* hello = std::get_if<PeerHello>(&message)) {
     up_ = true;
     retry_ = kMinRetry;
-    if (outstanding_ == 0) ping_timer_.Stop();
     return handlers_.on_up(*hello);
   }
   if (up_) handlers_.on_message(std::move(message));
@@ -49,15 +45,18 @@
   const bool refused = !connected_ && reason == "Connection refused";
   up_ = false;
   connected_ = false;
-  ping_timer_.Stop();
   retry_timer_.StartOnce(retry_);
   retry_ = std::min(retry_ * 2, kMaxRetry);
   handlers_.on_down(refused, reason);
 }
 
+steady_clock::duration PeerLink::Silence() const {
+  return steady_clock::now() - std::max(watched_since_, stream_->last_read());
+}
+
 void PeerLink::CheckSilence() {
-  if (up_ && outstanding_ == 0) return ping_timer_.Stop();
-  const auto silence = steady_clock::now() - last_received_;
+  if (!connected_ || (up_ && outstanding_ == 0)) return;
+  const auto silence = Silence();
   if (silence >= silence_limit_) {
     stream_->Close();
     return OnClosed("silent");
@@ -69,15 +68,11 @@
   if (up_) stream_->Send(std::move(message));
 }
 
-bool PeerLink::suspect() const {
-  return outstanding_ > 0 && steady_clock::now() - last_received_ >= kSuspicion;
-}
+bool PeerLink::suspect() const { return outstanding_ > 0 && Silence() >= kSuspicion; }
 
 void PeerLink::AddOutstanding(int change) {
+  if (outstanding_ == 0) watched_since_ = steady_clock::now();
   outstanding_ += change;
-  if (!up_ || outstanding_ == 0 || ping_timer_.pending()) return;
-  last_received_ = steady_clock::now();
-  ping_timer_.StartPeriodic(kPingInterval);
 }
 
 void PeerLink::RetryNow() {
--- a/src/libsidecar/peer_link.h
+++ b/src/libsidecar/peer_link.h
@@ -56,12 +56,15 @@
   void AddOutstanding(int change);
   /// Connects at once if the link waits to try again.
   void RetryNow();
+  /// Asks for a sign of life if calls are outstanding, and closes a silent connection. To be called
+  /// every `kPingInterval`.
+  void CheckSilence();
 
  private:
   void Connect();
   void OnMessage(PeerMessage message);
   void OnClosed(const std::string& reason);
-  void CheckSilence();
+  std::chrono::steady_clock::duration Silence() const;
 
   event_base* base_;
   NetAddress address_;
@@ -69,12 +72,12 @@
   Handlers handlers_;
   std::unique_ptr<FrameStream> stream_;
   Timer retry_timer_;
-  Timer ping_timer_;
   std::chrono::milliseconds retry_ = kMinRetry;
   bool connected_ = false;
   bool up_ = false;
   int outstanding_ = 0;
-  std::chrono::steady_clock::time_point last_received_;
+  /// Since when a sign of life is expected.
+  std::chrono::steady_clock::time_point watched_since_;
 };
 
 }  // namespace camphorhoist
--- a/src/libsidecar/peer_listener.cc
+++ b/src/libsidecar/peer_listener.cc
@@ -1,6 +1,5 @@
 #include "libsidecar/peer_listener.h"
 
-#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -8,8 +7,6 @@
 
 namespace camphorhoist {
 
-using std::chrono::steady_clock;
-
 ListenerPtr Listen(event_base* base, const NetAddress& address, evconnlistener_cb on_accept,
                    void* arg, std::error_code* ec) {
   constexpr int kBacklog = 512;
@@ -21,13 +18,12 @@
   return listener;
 }
 
-PeerListener::PeerListener(event_base* base, LocalUpstream* upstream, size_t link,
+PeerListener::PeerListener(event_base* base, LocalUpstream* upstream, LinkPacer* pacer,
                            Handlers handlers)
     : base_(base),
       upstream_(upstream),
-      link_(link),
+      pacer_(pacer),
       handlers_(std::move(handlers)),
-      bulk_timer_(base, [this] { SendBulk(); }),
       cleanup_(base, [this] { closed_.clear(); }) {}
 
 bool PeerListener::Start(const NetAddress& address, std::error_code* ec) {
@@ -56,17 +52,20 @@
     });
   }
   if (const auto* cancel = std::get_if<CallCancel>(&message)) {
-    const auto of_call = [cancel](const auto& waiting) { return waiting.second.id == cancel->id; };
-    bulk_waiting_.erase(std::remove_if(bulk_waiting_.begin(), bulk_waiting_.end(), of_call),
-                        bulk_waiting_.end());
+    for (auto it = paced_.begin(); it != paced_.end(); ++it) {
+      if (it->second.id != cancel->id || !pacer_->Withdraw(it->first)) continue;
+      paced_.erase(it);
+      break;
+    }
     return upstream_->Cancel(cancel->id);
   }
   if (const auto* ping = std::get_if<PeerPing>(&message)) {
     return streams_.at(source)->Send(PeerPong{ping->number});
   }
+  if (std::holds_alternative<EntryMissing>(message)) return handlers_.on_entry_missing();
   if (const auto* hello = std::get_if<PeerHello>(&message)) {
     FrameStream* stream = streams_.at(source).get();
-    if (hello->bulk && orders_bulk()) bulk_sources_.insert(source);
+    if (hello->bulk) bulk_sources_.insert(source);
     stream->Send(handlers_.hello());
     handlers_.on_hello(*hello);
   }
@@ -76,31 +75,23 @@
   const auto it = streams_.find(source);
   if (it == streams_.end()) return;
   result.config_version = handlers_.config_version();
-  if (bulk_sources_.count(source) == 0) return it->second->Send(std::move(result));
-  bulk_waiting_.emplace_back(source, std::move(result));
-  SendBulk();
-}
-
-void PeerListener::SendBulk() {
-  const auto now = steady_clock::now();
-  while (!bulk_waiting_.empty() && bulk_free_ <= now) {
-    const uint64_t source = bulk_waiting_.front().first;
-    CallResult result = std::move(bulk_waiting_.front().second);
-    bulk_waiting_.pop_front();
-    const std::chrono::duration<double> time(static_cast<double>(result.body.size()) / bulk_rate());
-    bulk_free_ = now + std::chrono::duration_cast<steady_clock::duration>(time);
-    streams_.at(source)->Send(std::move(result));
-  }
-  if (bulk_waiting_.empty() || bulk_timer_.pending()) return;
-  bulk_timer_.StartOnce(std::chrono::duration_cast<std::chrono::microseconds>(bulk_free_ - now));
+  const bool paced = pacer_->active() && bulk_sources_.count(source) != 0;
+  if (!paced) return it->second->Send(std::move(result));
+  SendPaced(source, std::move(result));
 }
 
-size_t PeerListener::bulk_backlog() const {
-  size_t bytes = 0;
-  for (const auto& it : bulk_waiting_) bytes += it.second.body.size();
-  const std::chrono::duration<double> busy = bulk_free_ - steady_clock::now();
-  if (busy.count() > 0) bytes += static_cast<size_t>(busy.count() * static_cast<double>(link_));
-  return bytes;
+void PeerListener::SendPaced(uint64_t source, CallResult result) {
+  const CallId id = result.id;
+  EvbufferPtr bytes(evbuffer_new());
+  AppendFrame(std::move(result), bytes.get());
+  // The ticket is known only after the call, and the sink is not called before.
+  auto ticket = std::make_shared<LinkPacer::Ticket>(0);
+  *ticket = pacer_->Send(std::move(bytes), [this, source, ticket](evbuffer* part, bool last) {
+    if (last) paced_.erase(*ticket);
+    const auto it = streams_.find(source);
+    if (it != streams_.end()) it->second->SendPart(part, last);
+  });
+  paced_[*ticket] = {source, id};
 }
 
 void PeerListener::OnClosed(uint64_t source) {
@@ -110,14 +101,21 @@
   streams_.erase(it);
   cleanup_.StartOnce(std::chrono::microseconds(0));
   bulk_sources_.erase(source);
-  const auto from_source = [source](const auto& waiting) { return waiting.first == source; };
-  bulk_waiting_.erase(std::remove_if(bulk_waiting_.begin(), bulk_waiting_.end(), from_source),
-                      bulk_waiting_.end());
+  for (auto paced = paced_.begin(); paced != paced_.end();) {
+    if (paced->second.source != source) {
+      ++paced;
+      continue;
+    }
+    pacer_->Drop(paced->first);
+    paced = paced_.erase(paced);
+  }
   upstream_->OnSourceClosed(source);
 }
 
-void PeerListener::Announce(const UpstreamStatus& status) {
-  for (const auto& it : streams_) it.second->Send(status);
+void PeerListener::Broadcast(const PeerMessage& message) {
+  for (const auto& it : streams_) {
+    if (bulk_sources_.count(it.first) == 0) it.second->Send(message);
+  }
 }
 
 }  // namespace camphorhoist
--- a/src/libsidecar/peer_messages.cc
+++ b/src/libsidecar/peer_messages.cc
@@ -100,6 +100,7 @@
   out.setConfigVersion(hello.config_version);
   Write(hello.upstream, out.initUpstream());
   out.setBulk(hello.bulk);
+  out.setStoreLost(hello.store_lost);
 }
 PeerHello Read(peer::Hello::Reader in) {
   PeerHello hello;
@@ -110,6 +111,7 @@
   hello.config_version = in.getConfigVersion();
   hello.upstream = Read(in.getUpstream());
   hello.bulk = in.getBulk();
+  hello.store_lost = in.getStoreLost();
   return hello;
 }
 
@@ -190,6 +192,12 @@
 }
 void Write(const PeerPing& ping, peer::Frame::Builder frame) { frame.setPing(ping.number); }
 void Write(const PeerPong& pong, peer::Frame::Builder frame) { frame.setPong(pong.number); }
+void Write(const StoreStatus& status, peer::Frame::Builder frame) {
+  auto out = frame.initStoreStatus();
+  out.setConfigVersion(status.config_version);
+  out.setLost(status.lost);
+}
+void Write(const EntryMissing&, peer::Frame::Builder frame) { frame.setEntryMissing(); }
 
 bool ReadMessage(peer::Frame::Reader frame, PeerMessage* message) {
   switch (frame.which()) {
@@ -214,6 +222,13 @@
     case peer::Frame::PONG:
       *message = PeerPong{frame.getPong()};
       return true;
+    case peer::Frame::STORE_STATUS:
+      *message =
+          StoreStatus{frame.getStoreStatus().getConfigVersion(), frame.getStoreStatus().getLost()};
+      return true;
+    case peer::Frame::ENTRY_MISSING:
+      *message = EntryMissing{};
+      return true;
   }
   return false;
 }
--- a/src/libsidecar/peer_messages.h
+++ b/src/libsidecar/peer_messages.h
@@ -37,8 +37,21 @@
   UpstreamStatus upstream;
   /// The connection carries calls with large responses.
   bool bulk = false;
+  /// The store does not answer the sender.
+  bool store_lost = false;
 };
 
+/// What a sidecar that follows the store tells the others of it.
+struct StoreStatus {
+  /// Newest version that it has read.
+  uint64_t config_version = 0;
+  /// The store does not answer it, so that another sidecar should follow the store.
+  bool lost = false;
+};
+
+/// The store has no entry of the receiver, which has to write it again.
+struct EntryMissing {};
+
 /// A call that is offered to the sidecar beside an upstream. Offering the same id again asks for
 /// the result of the first offer; it never causes a second run.
 struct CallOffer {
@@ -118,8 +131,8 @@
   uint64_t number = 0;
 };
 
-using PeerMessage =
-    std::variant<PeerHello, CallOffer, CallResult, CallCancel, UpstreamStatus, PeerPing, PeerPong>;
+using PeerMessage = std::variant<PeerHello, CallOffer, CallResult, CallCancel, UpstreamStatus,
+                                 PeerPing, PeerPong, StoreStatus, EntryMissing>;
 
 /// Longest frame; bounds what a faulty peer can make this process hold.
 inline constexpr size_t kMaxFrameBytes = 96 << 20;
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -1,7 +1,10 @@
 #include "libsidecar/sidecar.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
+#include "camphorhoist/duty.h"
 #include "libbase/log.h"
 #include "platform/announcements.h"
 
@@ -36,6 +39,7 @@
     : base_(base),
       settings_(settings),
       incarnation_(incarnation),
+      pacer_(base, settings_.link_bytes_per_second),
       local_(base, settings_, [this] { OnUpstreamStatus(); }),
       directory_(base, {[this] { return NewHello(); },
                         [this](Peer* peer, PeerMessage message) {
@@ -45,10 +49,10 @@
                         [this](Peer* peer, bool gone) { dispatcher_.OnPeerDown(peer, gone); }}),
       dispatcher_(base, &settings_, incarnation, &directory_, &local_, &metrics_),
       peer_listener_(
-          base, &local_, settings_.link_bytes_per_second,
+          base, &local_, &pacer_,
           {[this] { return NewHello(); }, [this](const PeerHello& hello) { OnPeerHello(hello); },
-           [this] { return config_version(); }}),
-      caller_listener_(base, &dispatcher_, &metrics_),
+           [this] { store_.RestoreEntry(); }, [this] { return config_version(); }}),
+      caller_listener_(base, &dispatcher_, &pacer_, &metrics_),
       ready_server_(base, [this](const ControlRequest& request) { return HandleReady(request); }),
       announce_server_(
           base, [this](const ControlRequest& request) { return HandleAnnouncement(request); }),
@@ -57,19 +61,23 @@
       store_(base, settings_,
              {[this](std::shared_ptr<const MeshConfig> config) {
                 dispatcher_.SetConfig(std::move(config));
+                if (store_.watching()) BroadcastStoreStatus();
               },
               [this](const SidecarEntry& entry) {
                 directory_.Learn(entry.node, *NetAddress::Parse(entry.address), entry.data_centre,
                                  true);
               },
-              [this](const std::string& node) { directory_.Unlist(node); },
+              [this](const std::string& node) { OnEntryGone(node); },
+              [this](const std::set<std::string>& nodes) { OnEntriesListed(nodes); },
+              [this] { BroadcastStoreStatus(); },
               [this](const SidecarEntry& entry) {
                 for (const UpstreamDeparture& it : entry.departures) local_.Restore(it);
                 RecordDepartures();
               }}),
+      duty_timer_(base, [this] { CheckDuty(); }),
       stop_timer_(base, [this] { ContinueStop(); }) {
-  if (peer_listener_.orders_bulk()) {
-    local_.SetEgress(peer_listener_.bulk_rate(), [this] { return peer_listener_.bulk_backlog(); });
+  if (pacer_.active()) {
+    local_.SetEgress(pacer_.rate(), [this] { return pacer_.backlog(); });
   }
   directory_.AddSelf(settings_.node, settings_.data_centre);
 }
@@ -89,6 +97,7 @@
   }
   if (!findings->empty()) return false;
   store_.Start();
+  duty_timer_.StartPeriodic(kDutyInterval);
   LogEvent(LogLevel::kInfo, "sidecar", "started")
       .Add("node", settings_.node)
       .Add("data_centre", settings_.data_centre)
@@ -114,6 +123,7 @@
   hello.address = settings_.peer_listen.ToString();
   hello.config_version = config_version();
   hello.upstream = local_.status();
+  hello.store_lost = store_.store_lost();
   return hello;
 }
 
@@ -121,7 +131,45 @@
   const UpstreamStatus status = local_.status();
   directory_.self()->status = status;
   directory_.UpdateLoad(directory_.self(), status.load);
-  peer_listener_.Announce(status);
+  peer_listener_.Broadcast(status);
+}
+
+// Members whose store does not answer come last, so that the duty moves on while any other is left.
+void Sidecar::CheckDuty() {
+  std::vector<MemberId> served;
+  std::vector<MemberId> cut_off;
+  for (const auto& [node, peer] : directory_.peers()) {
+    if (!peer->up() || peer->view.zone != settings_.data_centre) continue;
+    const bool lost = peer->local() ? store_.store_lost() : peer->store_lost;
+    const MemberId& member = peer->local() ? settings_.peer_listen : peer->address;
+    (lost ? cut_off : served).push_back(member);
+  }
+  const auto elected = [this](const std::vector<MemberId>& members, size_t count) {
+    const std::vector<MemberId> watchers = ElectWatchers(members, settings_.data_centre, count);
+    return std::find(watchers.begin(), watchers.end(), settings_.peer_listen) != watchers.end();
+  };
+  const size_t missing = kWatchersPerDataCentre - std::min(kWatchersPerDataCentre, served.size());
+  store_.SetWatching(elected(served, kWatchersPerDataCentre) || elected(cut_off, missing));
+}
+
+void Sidecar::BroadcastStoreStatus() {
+  peer_listener_.Broadcast(StoreStatus{store_.version(), store_.store_lost()});
+}
+
+void Sidecar::OnEntryGone(const std::string& node) {
+  directory_.Unlist(node);
+  Peer* peer = directory_.Find(node);
+  if (peer == nullptr || peer->local() || !peer->up()) return;
+  LogEvent(LogLevel::kInfo, "store", "entry_missing").Add("node", node);
+  peer->link->Send(EntryMissing{});
+}
+
+void Sidecar::OnEntriesListed(const std::set<std::string>& nodes) {
+  std::vector<std::string> missing;
+  for (const auto& it : directory_.peers()) {
+    if (nodes.count(it.first) == 0) missing.push_back(it.first);
+  }
+  for (const std::string& node : missing) OnEntryGone(node);
 }
 
 void Sidecar::OnPeerHello(const PeerHello& hello) {
@@ -141,6 +189,10 @@
     peer->status = *status;
     directory_.UpdateLoad(peer, status->load);
   }
+  if (const auto* status = std::get_if<StoreStatus>(&message)) {
+    peer->store_lost = status->lost;
+    store_.OnVersionSeen(status->config_version);
+  }
 }
 
 bool Sidecar::ready() const {
@@ -229,7 +281,7 @@
   if (now >= end_of_stop() - kFinishTime) {
     caller_listener_.Stop();
     local_.Stop();
-    const bool idle = dispatcher_.active() == 0 && local_.active() == 0;
+    const bool idle = dispatcher_.active() == 0 && local_.active() == 0 && pacer_.empty();
     if (idle || now >= end_of_stop()) {
       LogEvent(LogLevel::kInfo, "sidecar", "stopped")
           .Add("cut_calls", dispatcher_.active())
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "camphorhoist/finding.h"
@@ -11,6 +12,7 @@
 #include "libsidecar/caller_listener.h"
 #include "libsidecar/control_server.h"
 #include "libsidecar/dispatcher.h"
+#include "libsidecar/link_pacer.h"
 #include "libsidecar/local_upstream.h"
 #include "libsidecar/peer_directory.h"
 #include "libsidecar/peer_listener.h"
@@ -34,6 +36,9 @@
   /// upstream stays in use: it can be reached only through this process.
   static constexpr std::chrono::milliseconds kFinishTime{1500};
   static constexpr std::chrono::milliseconds kStopPoll{50};
+  /// Time between two checks of whether this sidecar has to watch the store. It bounds the gap that
+  /// a watcher leaves which ends or loses the store.
+  static constexpr std::chrono::milliseconds kDutyInterval{500};
 
   Sidecar(event_base* base, const SidecarSettings& settings, uint64_t incarnation);
   Sidecar(const Sidecar&) = delete;
@@ -54,6 +59,12 @@
   /// Has the starts of the upstream that left kept in the store.
   void RecordDepartures();
   void OnUpstreamStatus();
+  /// Chooses the sidecars of this data centre that watch the store.
+  void CheckDuty();
+  /// Tells the others of the newest version and of the contact to the store.
+  void BroadcastStoreStatus();
+  void OnEntriesListed(const std::set<std::string>& nodes);
+  void OnEntryGone(const std::string& node);
   void OnPeerMessage(Peer* peer, PeerMessage message);
   void OnPeerHello(const PeerHello& hello);
   ControlResponse HandleReady(const ControlRequest& request) const;
@@ -70,6 +81,7 @@
   SidecarSettings settings_;
   uint64_t incarnation_;
   SidecarMetrics metrics_;
+  LinkPacer pacer_;
   LocalUpstream local_;
   PeerDirectory directory_;
   Dispatcher dispatcher_;
@@ -79,6 +91,7 @@
   ControlServer announce_server_;
   ControlServer metrics_server_;
   StoreSync store_;
+  Timer duty_timer_;
   Timer stop_timer_;
   std::optional<std::chrono::steady_clock::time_point> stop_began_;
 };
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -412,6 +412,9 @@
       });
     }
     for (int round = 0; round < 4; ++round) {
+      // Upstreams report every 1.5 s, and count as gone after some missed reports.
+      mesh.Report(1);
+      if (round <= 1) mesh.Report(2);
       std::vector<std::unique_ptr<RawClient>> clients;
       for (int i = 0; i < 12; ++i) {
         const size_t node = i % 2 == 0 ? 0 : 3;
--- a/src/libsidecar/store_sync.cc
+++ b/src/libsidecar/store_sync.cc
@@ -72,9 +72,22 @@
   store_down_ = !answered;
   LogEvent(answered ? LogLevel::kInfo : LogLevel::kWarn, "store", answered ? "regained" : "lost")
       .Add("error", ec.message());
+  handlers_.on_contact();
+}
+
+void StoreSync::SetWatching(bool watching) {
+  if (watching == watching_) return;
+  watching_ = watching;
+  LogEvent(LogLevel::kInfo, "store", watching ? "watching" : "not_watching")
+      .Add("version", version_);
+  // A watch that is under way goes on until it is answered.
+  if (!watching_) return;
+  if (!config_.timer->pending()) config_.timer->StartOnce(std::chrono::microseconds(0));
+  if (!entries_.timer->pending()) entries_.timer->StartOnce(std::chrono::microseconds(0));
 }
 
 void StoreSync::Retry(Follower* follower, const char* what, std::error_code ec) {
+  if (follower->complete && !watching_) return;
   LogEvent(LogLevel::kDebug, "store", "call_failed")
       .Add("call", what)
       .Add("error", ec.message())
@@ -86,20 +99,22 @@
 void StoreSync::ReadConfig() {
   if (config_.busy) return;
   config_.busy = true;
-  client_.List(platform::kConfigKind, [this](std::error_code ec, const platform::ObjectList& list) {
-    config_.busy = false;
-    NoteContact(ec);
-    if (ec) return Retry(&config_, "read_config", ec);
-    for (const platform::StoredObject& it : list.objects) TakeConfig(it);
-    config_.as_of = list.as_of;
-    config_.listed = true;
-    config_.retry = kMinRetry;
-    WatchConfig();
-  });
+  client_.List(platform::kConfigKind, platform::ObjectClient::Freshness::kLatest,
+               [this](std::error_code ec, const platform::ObjectList& list) {
+                 config_.busy = false;
+                 NoteContact(ec);
+                 if (ec) return Retry(&config_, "read_config", ec);
+                 for (const platform::StoredObject& it : list.objects) TakeConfig(it);
+                 config_.as_of = list.as_of;
+                 config_.listed = true;
+                 config_.complete = true;
+                 config_.retry = kMinRetry;
+                 WatchConfig();
+               });
 }
 
 void StoreSync::WatchConfig() {
-  if (config_.busy) return;
+  if (config_.busy || !watching_) return;
   config_.busy = true;
   client_.Watch(platform::kConfigKind, config_.as_of, kWatchWait,
                 [this](std::error_code ec, const platform::ObjectChanges& changes) {
@@ -141,53 +156,83 @@
 }
 
 void StoreSync::OnVersionSeen(uint64_t version) {
-  if (version <= version_ || version_timer_->pending()) return;
-  seen_version_ = version;
-  version_timer_->StartOnce(kVersionPatience);
+  if (version <= version_) return;
+  seen_version_ = std::max(seen_version_, version);
+  if (version_timer_->pending() || reading_version_) return;
+  if (watching_) return version_timer_->StartOnce(kVersionPatience);
+  const auto spent = steady_clock::now() - version_read_;
+  version_timer_->StartOnce(std::chrono::duration_cast<std::chrono::microseconds>(
+      std::max<steady_clock::duration>(kVersionReadSpacing - spent, {})));
 }
 
 void StoreSync::CheckVersion() {
-  if (seen_version_ <= version_) return;
-  LogEvent(LogLevel::kWarn, "config", "watch_behind")
+  if (seen_version_ <= version_ || reading_version_) return;
+  LogEvent(LogLevel::kInfo, "config", "newer_version_seen")
       .Add("in_force", version_)
-      .Add("seen", seen_version_);
-  client_.List(platform::kConfigKind, [this](std::error_code ec, const platform::ObjectList& list) {
-    NoteContact(ec);
-    for (const platform::StoredObject& it : list.objects) TakeConfig(it);
-    if (seen_version_ > version_) version_timer_->StartOnce(kVersionPatience);
-  });
+      .Add("seen", seen_version_)
+      .Add("watching", watching_);
+  ReadVersion(platform::ObjectClient::Freshness::kRecent);
+}
+
+void StoreSync::ReadVersion(platform::ObjectClient::Freshness freshness) {
+  using Freshness = platform::ObjectClient::Freshness;
+  reading_version_ = true;
+  version_read_ = steady_clock::now();
+  client_.List(platform::kConfigKind, freshness,
+               [this, freshness](std::error_code ec, const platform::ObjectList& list) {
+                 reading_version_ = false;
+                 NoteContact(ec);
+                 for (const platform::StoredObject& it : list.objects) TakeConfig(it);
+                 if (seen_version_ <= version_) {
+                   version_retry_ = kMinRetry;
+                 } else if (!ec && freshness == Freshness::kRecent) {
+                   ReadVersion(Freshness::kLatest);
+                 } else {
+                   version_timer_->StartOnce(version_retry_);
+                   version_retry_ = std::min(version_retry_ * 2, kMaxRetry);
+                 }
+               });
 }
 
 void StoreSync::ReadEntries() {
   if (entries_.busy) return;
   entries_.busy = true;
-  client_.List(kEntryKind, [this](std::error_code ec, const platform::ObjectList& list) {
+  const bool own_entry_written = written_;
+  const auto done = [this, own_entry_written](std::error_code ec,
+                                              const platform::ObjectList& list) {
     entries_.busy = false;
     NoteContact(ec);
     // A kind without objects may be unknown to the store.
     if (ec && ec != Errc::kNotFound) return Retry(&entries_, "read_entries", ec);
-    bool own_seen = false;
-    for (const platform::StoredObject& it : list.objects) {
-      if (it.name == own_.node) {
-        own_seen = true;
-        const std::optional<SidecarEntry> entry = DecodeEntry(it.name, it.spec);
-        if (!listed_ && entry) handlers_.on_own_entry(*entry);
-      } else {
-        TakeEntry(it);
-      }
-    }
-    exists_ = own_seen;
-    listed_ = true;
-    entries_.as_of = list.as_of;
-    entries_.listed = true;
-    entries_.retry = kMinRetry;
-    if (!own_seen || !written_) WriteEntry();
+    TakeEntries(list);
+    entries_.complete = entries_.complete || own_entry_written;
     WatchEntries();
-  });
+  };
+  client_.List(kEntryKind, platform::ObjectClient::Freshness::kLatest, done);
+}
+
+void StoreSync::TakeEntries(const platform::ObjectList& list) {
+  std::set<std::string> nodes;
+  for (const platform::StoredObject& it : list.objects) {
+    nodes.insert(it.name);
+    if (it.name != own_.node) {
+      TakeEntry(it);
+      continue;
+    }
+    const std::optional<SidecarEntry> entry = DecodeEntry(it.name, it.spec);
+    if (!listed_ && entry) handlers_.on_own_entry(*entry);
+  }
+  exists_ = nodes.count(own_.node) != 0;
+  listed_ = true;
+  entries_.as_of = list.as_of;
+  entries_.listed = true;
+  entries_.retry = kMinRetry;
+  if (!exists_ || !written_) WriteEntry();
+  if (watching_) handlers_.on_listed(nodes);
 }
 
 void StoreSync::WatchEntries() {
-  if (entries_.busy) return;
+  if (entries_.busy || !watching_) return;
   entries_.busy = true;
   client_.Watch(kEntryKind, entries_.as_of, kWatchWait,
                 [this](std::error_code ec, const platform::ObjectChanges& changes) {
@@ -214,6 +259,14 @@
                 });
 }
 
+void StoreSync::RestoreEntry() {
+  if (!joined() || write_.busy) return;
+  if (steady_clock::now() - entry_written_ < kEntryRewriteSpacing) return;
+  LogEvent(LogLevel::kInfo, "store", "entry_restored").Add("node", own_.node);
+  exists_ = false;
+  WriteEntry();
+}
+
 void StoreSync::TakeEntry(const platform::StoredObject& object) {
   const std::optional<SidecarEntry> entry = DecodeEntry(object.name, object.spec);
   if (entry) return handlers_.on_entry(*entry);
@@ -252,6 +305,8 @@
   if (ec) return Retry(&write_, "write_entry", ec);
   exists_ = true;
   written_ = true;
+  entry_written_ = steady_clock::now();
+  if (!entries_.complete) ReadEntries();
   write_.retry = kMinRetry;
   if (std::exchange(write_again_, false)) WriteEntry();
 }
--- a/src/libsidecar/store_sync.h
+++ b/src/libsidecar/store_sync.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,8 +32,10 @@
 /// Keeps this sidecar's entry in the store, and follows the configuration and the entries of the
 /// others.
 ///
-/// Reads the entries, writes the own one and watches from what was read, so that of two sidecars
-/// that start at the same time at least one learns of the other.
+/// Store calls are paid for, so only some sidecars of each data centre watch the store, and tell
+/// the others of a newer version. Those then read it once. At its start a sidecar reads the
+/// entries, writes the own one and reads again, so that of two that start at the same time at least
+/// one learns of the other.
 ///
 /// Thread safety: none; use on the thread of the event loop.
 class StoreSync {
@@ -42,6 +45,10 @@
     std::function<void(std::shared_ptr<const MeshConfig>)> on_config;
     std::function<void(const SidecarEntry&)> on_entry;
     std::function<void(const std::string& node)> on_entry_gone;
+    /// All nodes that have an entry.
+    std::function<void(const std::set<std::string>& nodes)> on_listed;
+    /// The store answers again, or no longer.
+    std::function<void()> on_contact;
     /// The own entry as an earlier run of this process left it.
     std::function<void(const SidecarEntry&)> on_own_entry;
   };
@@ -55,9 +62,14 @@
   /// that their entries are urgent only for those that start at the same time.
   static constexpr std::chrono::milliseconds kConfigWatchSpacing{900};
   static constexpr std::chrono::milliseconds kEntryWatchSpacing{3000};
+  /// An entry that is missed by several watchers is written once in this time.
+  static constexpr std::chrono::milliseconds kEntryRewriteSpacing{1000};
   /// The watch tells of a version that others run within this time, unless its connection is
   /// silent.
   static constexpr std::chrono::milliseconds kVersionPatience{1200};
+  /// Time between two reads of a version that others run. With `kConfigWatchSpacing` and the calls
+  /// it has to stay below two seconds.
+  static constexpr std::chrono::milliseconds kVersionReadSpacing{500};
   /// Delay after a failed call; doubles up to the maximum. The own entry has to be back within two
   /// seconds after the store is.
   static constexpr std::chrono::milliseconds kMinRetry{200};
@@ -66,11 +78,20 @@
   StoreSync(event_base* base, const SidecarSettings& settings, Handlers handlers);
 
   void Start();
+  /// Whether this sidecar watches the store for others. Initially it does not.
+  void SetWatching(bool watching);
+  bool watching() const { return watching_; }
+  /// A watching sidecar found no entry of this one.
+  void RestoreEntry();
   /// The upstream has been told to get no more requests.
   void SetDepartures(std::vector<UpstreamDeparture> departures);
-  /// Another sidecar runs this version. Reads the configuration if the watch does not tell of it
+  /// Another sidecar knows this version. Reads the configuration, unless the own watch tells of it
   /// within `kVersionPatience`.
   void OnVersionSeen(uint64_t version);
+  /// Newest version that was read; 0 before the first.
+  uint64_t version() const { return version_; }
+  /// The last call failed.
+  bool store_lost() const { return store_down_; }
 
   /// The entries have been read and the own one is written.
   bool joined() const { return listed_ && written_; }
@@ -86,13 +107,17 @@
     int64_t as_of = 0;
     bool listed = false;
     bool busy = false;
+    /// What a sidecar needs at its start has been read; only a watching one reads on.
+    bool complete = false;
   };
 
   void ReadConfig();
   void CheckVersion();
+  void ReadVersion(platform::ObjectClient::Freshness freshness);
   void WatchConfig();
   void TakeConfig(const platform::StoredObject& object);
   void ReadEntries();
+  void TakeEntries(const platform::ObjectList& list);
   void WatchEntries();
   void TakeEntry(const platform::StoredObject& object);
   void WriteEntry();
@@ -101,15 +126,20 @@
   void NoteContact(std::error_code ec);
 
   Handlers handlers_;
+  bool watching_ = false;
   platform::ObjectClient client_;
   SidecarEntry own_;
   Follower config_;
   Follower entries_;
   Follower write_;
   uint64_t version_ = 0;
-  /// Version that another sidecar was seen to run when `version_timer_` was started.
+  /// Newest version that another sidecar was seen to know.
   uint64_t seen_version_ = 0;
   std::unique_ptr<Timer> version_timer_;
+  bool reading_version_ = false;
+  std::chrono::milliseconds version_retry_ = kMinRetry;
+  std::chrono::steady_clock::time_point version_read_;
+  std::chrono::steady_clock::time_point entry_written_;
   bool exists_ = false;
   bool listed_ = false;
   bool written_ = false;
