Calls that are given up count as slow for their server

A cancelled call gave no observation, so that these servers were known by their earlier times and chosen again and again; the calls that waited for them failed.

--- a/include/camphorhoist/server_queue.h
+++ b/include/camphorhoist/server_queue.h
@@ -102,8 +102,12 @@
   /// Fills free slots from the queue and drops calls that can no longer be served.
   std::vector<Step> Advance(ProxyTime now);
 
-  /// `service_time` is empty if the call did not run to its end.
-  void OnFinish(uint64_t key, std::optional<ProxyDuration> service_time);
+  /// The call has its whole response.
+  void OnFinish(uint64_t key, ProxyDuration service_time);
+  /// The call was given up, or its response was lost. It would have taken at least as long as it
+  /// has: without this, a server that turns so slow that all its callers leave would be known by
+  /// its better times.
+  void OnAbort(ProxyTime now, uint64_t key);
   /// Removes a waiting call. Returns false if it is not waiting.
   bool Withdraw(uint64_t key);
   /// Removes and returns all waiting calls.
@@ -125,6 +129,7 @@
   };
 
   void Start(ProxyTime now, const PendingCall& call);
+  void Observe(uint64_t profile, double us);
   ProxyDuration ExpectedWait(ProxyTime now, const PendingCall& call) const;
   ProxyTime LatestStart(const PendingCall& call) const;
   bool LinkIsFull(ProxyTime now, const PendingCall& call) const;
--- a/src/libproxy/server_queue.cc
+++ b/src/libproxy/server_queue.cc
@@ -122,15 +122,26 @@
   return steps;
 }
 
-void ServerQueue::OnFinish(uint64_t key, std::optional<ProxyDuration> service_time) {
+void ServerQueue::Observe(uint64_t profile, double us) {
+  mean_us_ += kServiceTimeGain * (us - mean_us_);
+  if (profile_us_.size() >= kMaxProfiles) profile_us_.clear();
+  const auto [it, is_new] = profile_us_.try_emplace(profile, us);
+  if (!is_new) it->second += kServiceTimeGain * (us - it->second);
+}
+
+void ServerQueue::OnFinish(uint64_t key, ProxyDuration service_time) {
+  const auto it = running_.find(key);
+  if (it == running_.end()) return;
+  Observe(it->second.profile, static_cast<double>(service_time.count()));
+  running_.erase(it);
+}
+
+void ServerQueue::OnAbort(ProxyTime now, uint64_t key) {
   const auto it = running_.find(key);
   if (it == running_.end()) return;
-  if (service_time) {
-    const double us = static_cast<double>(service_time->count());
-    mean_us_ += kServiceTimeGain * (us - mean_us_);
-    if (profile_us_.size() >= kMaxProfiles) profile_us_.clear();
-    const auto [profile, is_new] = profile_us_.try_emplace(it->second.profile, us);
-    if (!is_new) profile->second += kServiceTimeGain * (us - profile->second);
+  const auto ran = std::chrono::duration_cast<ProxyDuration>(now - it->second.since);
+  if (ran > ExpectedServiceTime(it->second.profile)) {
+    Observe(it->second.profile, static_cast<double>(ran.count()));
   }
   running_.erase(it);
 }
--- a/src/libproxy/server_queue_test.cc
+++ b/src/libproxy/server_queue_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(TimelyCallsDisplaceLateOnes);
   CPPUNIT_TEST(DropsWhatTheDeadlineOverran);
   CPPUNIT_TEST(LearnsServiceTimes);
+  CPPUNIT_TEST(LearnsFromCallsThatAreGivenUp);
   CPPUNIT_TEST(RefusesWhatTheLinkCannotDeliver);
   CPPUNIT_TEST_SUITE_END();
 
@@ -159,6 +160,28 @@
                    ServerQueue::Verdict::kHopeless);
   }
 
+  // Guards against a server that turns so slow that all callers leave, and is still taken to be as
+  // fast as before. A call that is given up early says nothing.
+  void LearnsFromCallsThatAreGivenUp() {
+    ServerQueue queue(1);
+    uint64_t key = 1;
+    for (; key <= 60; ++key) {
+      queue.Offer(kStart, Call(key, 900000, 2000000), std::chrono::seconds(10));
+      queue.OnFinish(key, milliseconds(20));
+    }
+    for (; key <= 90; ++key) {
+      queue.Offer(kStart, Call(key, 900000, 2000000), std::chrono::seconds(10));
+      queue.OnAbort(kStart + milliseconds(5), key);
+    }
+    CPPUNIT_ASSERT(queue.ExpectedServiceTime(1) <= milliseconds(21));
+    for (; key <= 120; ++key) {
+      queue.Offer(kStart, Call(key, 900000, 2000000), std::chrono::seconds(10));
+      queue.OnAbort(kStart + milliseconds(250), key);
+    }
+    CPPUNIT_ASSERT(queue.ExpectedServiceTime(1) > milliseconds(200));
+    CPPUNIT_ASSERT(queue.load(kStart).service_time > milliseconds(200));
+  }
+
   // Guards against predictions that do not follow the speed of the server.
   void LearnsServiceTimes() {
     ServerQueue queue(1);
--- a/src/libproxy/testing/load_replay.cc
+++ b/src/libproxy/testing/load_replay.cc
@@ -214,9 +214,11 @@
     const bool whole = started + full <= attempt->deadline;
     const double took = whole ? full : attempt->deadline - started;
     clock_.Schedule(started + took, [this, attempt, server, key, took, whole] {
-      std::optional<ProxyDuration> service;
-      if (whole) service = ProxyDuration(static_cast<int64_t>(took * 1000));
-      queues_[server].OnFinish(key, service);
+      if (whole) {
+        queues_[server].OnFinish(key, ProxyDuration(static_cast<int64_t>(took * 1000)));
+      } else {
+        queues_[server].OnAbort(At(clock_.now()), key);
+      }
       if (whole) busy_ms_ += took;
       const ServerLoad load = queues_[server].load(At(clock_.now()));
       clock_.Schedule(clock_.now() + NetworkMs(attempt->sender, server),
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -149,6 +149,14 @@
   peer->failure_time = now;
 }
 
+// The caller has left, or the call has expired, before the offer under way had a result.
+void Dispatcher::RecordGivenUp(const Call& call) {
+  Peer* peer = directory_->Find(call.node);
+  if (peer == nullptr || by_offer_.count(call.offer_id) == 0) return;
+  const auto waited = steady_clock::now() - call.offered;
+  if (waited > kSlowOfferFactor * peer->view.load.service_time) RecordOutcome(peer, true);
+}
+
 void Dispatcher::Place(Call* call) {
   const ServerCandidates candidates = Candidates(call->service);
   const auto expected = static_cast<size_t>(response_bytes_[call->profile]);
@@ -397,6 +405,7 @@
            Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->arrived)))
       .Add("offered_ms",
            Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->offered)));
+  RecordGivenUp(*call);
   CancelOffer(call);
   metrics_->Count("cancelled_total");
   calls_.erase(it);
@@ -406,6 +415,7 @@
   const auto it = calls_.find(handle);
   if (it == calls_.end()) return;
   Call* call = it->second.get();
+  RecordGivenUp(*call);
   CancelOffer(call);
   Fail(call, kGatewayTimeout, "deadline");
 }
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -56,6 +56,9 @@
   /// Time in which the influence of a failure on the choice of a server falls to a third.
   static constexpr std::chrono::milliseconds kFailureMemory{3000};
   static constexpr double kFailureGain = 0.15;
+  /// An offer that a caller leaves after this many service times of the server counts as failed.
+  /// A server that lets calls wait until their callers leave gives no results to avoid it by.
+  static constexpr int kSlowOfferFactor = 3;
   /// Weight of a new observation of a response size.
   static constexpr double kResponseSizeGain = 0.05;
   /// Time that a caller is taken to have while this sidecar has no configuration.
@@ -128,6 +131,7 @@
   void Release(Call* call);
   PeerLink* LinkOf(const Call& call, Peer* peer) const;
   void RecordOutcome(Peer* peer, bool failed);
+  void RecordGivenUp(const Call& call);
   double FailureShare(const Peer& peer, ProxyTime now) const;
 
   event_base* base_;
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -182,11 +182,12 @@
   result.status = outcome.status;
   result.headers = std::move(outcome.headers);
   result.body = std::move(outcome.body);
-  std::optional<ProxyDuration> service_time;
+  const auto now = steady_clock::now();
   if (outcome.kind == ResultKind::kResponse) {
-    service_time = duration_cast<ProxyDuration>(steady_clock::now() - entry.started);
+    queue_.OnFinish(entry.key, duration_cast<ProxyDuration>(now - entry.started));
+  } else {
+    queue_.OnAbort(now, entry.key);
   }
-  queue_.OnFinish(entry.key, service_time);
   if (outcome.kind != ResultKind::kResponse) {
     LogNoResponse(entry, outcome.reason, outcome.sent);
   }
@@ -216,7 +217,7 @@
 
 void LocalUpstream::Abort(const CallId& id, Entry* entry, ResultReason reason) {
   pool_.Cancel(entry->handle);
-  queue_.OnFinish(entry->key, std::nullopt);
+  queue_.OnAbort(steady_clock::now(), entry->key);
   CallResult result = NewResult(id, ResultKind::kUnknown, reason);
   result.reached_upstream = true;
   Finish(id, entry, std::move(result));
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -49,6 +49,8 @@
   /// Begins an orderly stop: the loop ends once all calls have their responses, or at the end of
   /// the grace period. A second call ends the loop at once.
   void Stop();
+  /// Whether this sidecar watches the store for others.
+  bool watching() const { return store_.watching(); }
   /// Takes the settings that can change while the process runs: the service of the upstream.
   void Reload(const SidecarSettings& settings);
 
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(StoppingSidecarKeepsItsUpstreamInUse);
   CPPUNIT_TEST(MetricsTellOfRefusals);
   CPPUNIT_TEST(NestedCallIsKnownByItsParent);
+  CPPUNIT_TEST(ServerThatKeepsCallersWaitingIsAvoided);
   CPPUNIT_TEST(LargeResponsesSurviveChurnOnASlowLink);
   CPPUNIT_TEST_SUITE_END();
 
@@ -394,6 +395,34 @@
     CPPUNIT_ASSERT_EQUAL(parent + ".1", FakeUpstream::RequestId(waiting[4].second));
   }
 
+  // Guards against a server that lets some calls wait until their callers leave, and reports good
+  // times with the others: nested calls went to it again and again until their deadline.
+  void ServerThatKeepsCallersWaitingIsAvoided() {
+    SidecarMesh mesh(3);
+    mesh.Report(1);
+    mesh.Report(2);
+    mesh.WaitUntilServing(0);
+    // Both servers have been used, so that their service times are known.
+    for (int i = 0; i < 20; ++i) mesh.Call(0, "GET", "/safe/x", "warm-" + std::to_string(i));
+    // The server of the own data centre, which is preferred.
+    mesh.at(2).upstream->set_answer([](RawServer::Connection* connection, const std::string& head) {
+      if (head.find("POST") == 0) FakeUpstream::Ok(connection, head);
+    });
+    size_t unanswered = 0;
+    for (int i = 0; i < 24; ++i) {
+      RawClient client(mesh.at(0).settings.caller_listen);
+      client.Send(RequestText("GET", "/safe/x", "id-" + std::to_string(i), ""));
+      const auto start = std::chrono::steady_clock::now();
+      mesh.Pump([&] {
+        return IsWhole(client.Read()) ||
+               std::chrono::steady_clock::now() - start > milliseconds(250);
+      });
+      if (i >= 8 && !IsWhole(client.Read())) ++unanswered;
+      mesh.Call(0, "POST", "/unsafe/x", "order-" + std::to_string(i));
+    }
+    CPPUNIT_ASSERT(unanswered <= 4);
+  }
+
   // Guards against a process that ends, or a short call that waits, while large responses queue for
   // a slow link and callers and sidecars come and go.
   void LargeResponsesSurviveChurnOnASlowLink() {
--- /dev/null
+++ b/src/libsidecar/store_duty_test.cc
@@ -0,0 +1,123 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <set>
+#include <string>
+
+#include "libsidecar/testing/sidecar_mesh.h"
+
+namespace camphorhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Sidecars that watch the store for the others of their data centre.
+class StoreDutyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreDutyTest);
+  CPPUNIT_TEST(TwoSidecarsOfEachDataCentreWatch);
+  CPPUNIT_TEST(NewVersionReachesThoseThatDoNotWatch);
+  CPPUNIT_TEST(DutyMovesOnWhenTheWatchersEnd);
+  CPPUNIT_TEST(LapsedEntryIsWrittenAgain);
+  CPPUNIT_TEST(EntriesLostWhileTheStoreWasAwayAreBack);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr size_t kNodes = 10;
+  // Two data centres, two watchers in each, two kinds of objects.
+  static constexpr size_t kWatches = 8;
+
+  static bool HasVersion(SidecarMesh* mesh, size_t i, int version) {
+    return mesh->Metrics(i).find("config_version " + std::to_string(version) + "\n") !=
+           std::string::npos;
+  }
+
+  static void WaitForWatchers(SidecarMesh* mesh) {
+    for (size_t i = 0; i < kNodes; ++i) {
+      CPPUNIT_ASSERT(mesh->Pump([&] { return mesh->Ready(i) == 200; }));
+    }
+    CPPUNIT_ASSERT(mesh->Pump([&] { return mesh->store().watches() == kWatches; }));
+  }
+
+ public:
+  // Guards against a store call on every sidecar for each change, which is what a fleet pays for.
+  void TwoSidecarsOfEachDataCentreWatch() {
+    SidecarMesh mesh(kNodes);
+    WaitForWatchers(&mesh);
+    mesh.PumpFor(milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(kWatches, mesh.store().watches());
+  }
+
+  // Guards against a sidecar that runs an old version since it does not watch: a version has to be
+  // in force within two seconds, also when versions follow each other.
+  void NewVersionReachesThoseThatDoNotWatch() {
+    SidecarMesh mesh(kNodes);
+    WaitForWatchers(&mesh);
+    for (const int version : {5, 6, 9}) {
+      const auto start = std::chrono::steady_clock::now();
+      mesh.PutConfig(version);
+      for (size_t i = 0; i < kNodes; ++i) {
+        CPPUNIT_ASSERT(mesh.Pump([&] { return HasVersion(&mesh, i, version); }));
+      }
+      CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < milliseconds(2000));
+    }
+  }
+
+  // Guards against a duty that ends with the processes that had it.
+  void DutyMovesOnWhenTheWatchersEnd() {
+    SidecarMesh mesh(kNodes);
+    WaitForWatchers(&mesh);
+    std::set<size_t> ended;
+    for (size_t i = 0; i < kNodes; ++i) {
+      if (mesh.at(i).sidecar->watching()) ended.insert(i);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{4}, ended.size());
+    for (const size_t i : ended) mesh.Kill(i);
+    mesh.PutConfig(7);
+    const auto start = std::chrono::steady_clock::now();
+    for (size_t i = 0; i < kNodes; ++i) {
+      if (ended.count(i) != 0) continue;
+      CPPUNIT_ASSERT(mesh.Pump([&] { return HasVersion(&mesh, i, 7); }));
+    }
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < milliseconds(2000));
+  }
+
+  // Guards against a sidecar that new ones cannot find, since its entry is gone.
+  void LapsedEntryIsWrittenAgain() {
+    SidecarMesh mesh(kNodes);
+    WaitForWatchers(&mesh);
+    mesh.PumpFor(milliseconds(1500));
+    for (size_t i = 0; i < kNodes; ++i) {
+      const std::string node = "node-" + std::to_string(i);
+      mesh.store().Delete("sidecars", node);
+    }
+    for (size_t i = 0; i < kNodes; ++i) {
+      const std::string node = "node-" + std::to_string(i);
+      CPPUNIT_ASSERT(mesh.Pump([&] { return mesh.store().Spec("sidecars", node).is_object(); }));
+    }
+  }
+
+  // Guards against entries that stay away after an outage of the store. They have to be back within
+  // two seconds of its return.
+  void EntriesLostWhileTheStoreWasAwayAreBack() {
+    SidecarMesh mesh(kNodes);
+    WaitForWatchers(&mesh);
+    mesh.PumpFor(milliseconds(1500));
+    mesh.store().set_fault(FakeStore::Fault::kBusy);
+    mesh.store().DropHistory();
+    for (size_t i = 0; i < kNodes; ++i) {
+      mesh.store().Delete("sidecars", "node-" + std::to_string(i));
+    }
+    mesh.PumpFor(milliseconds(3000));
+    mesh.store().set_fault(FakeStore::Fault::kNone);
+    const auto start = std::chrono::steady_clock::now();
+    for (size_t i = 0; i < kNodes; ++i) {
+      const std::string node = "node-" + std::to_string(i);
+      CPPUNIT_ASSERT(mesh.Pump([&] { return mesh.store().Spec("sidecars", node).is_object(); }));
+    }
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < milliseconds(2000));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreDutyTest);
+
+}  // namespace
+}  // namespace camphorhoist
--- a/src/libsidecar/testing/fake_store.h
+++ b/src/libsidecar/testing/fake_store.h
@@ -50,6 +50,8 @@
   void DropHistory();
   /// Calls answered since the start.
   uint64_t calls() const { return calls_; }
+  /// Watches that wait for a change.
+  size_t watches() const { return watches_.size(); }
 
  private:
   struct Event {
