Slow servers: ages of running calls in the estimate, nested calls are moved, early return

Cause: servers that turn slow were known by their earlier times until a slow call ended, and nested calls waited at them until their deadline; a lookup whose nested call fails is answered 500. Callers that a shedding server refused were told to come back after 300 ms, as if no server were known.

--- a/include/camphorhoist/call_placement.h
+++ b/include/camphorhoist/call_placement.h
@@ -32,7 +32,8 @@
   static constexpr ProxyDuration kMinAcceptedWait{3000};
   /// Shortest Retry-After; a shorter one meets the same queue again.
   static constexpr ProxyDuration kMinRetryAfter{50000};
-  /// Retry-After when no server is known.
+  /// Retry-After when no server is known. If servers have failed the call without being full, the
+  /// next attempt may succeed at once, and waits for the least time only.
   static constexpr ProxyDuration kNoServerRetryAfter{300000};
 
   struct Offer {
--- a/include/camphorhoist/server_queue.h
+++ b/include/camphorhoist/server_queue.h
@@ -28,6 +28,8 @@
   int priority = 0;
   /// Made by a server while it runs another call, which waits for it.
   bool nested = false;
+  /// When it was offered to this server.
+  ProxyTime offered{};
   /// Time that the response waits for the link of the VM, and that it needs on it.
   ProxyDuration delivery_wait{};
   ProxyDuration delivery_time{};
@@ -68,6 +70,10 @@
   /// Share of the expected service time that must remain before the deadline for a start.
   static constexpr double kMinUsefulShare = 0.5;
 
+  /// Share of its time that a nested call waits at one server. Its parent fails with it, and
+  /// another server may still run it in time.
+  static constexpr double kMaxNestedWaitShare = 0.3;
+
   explicit ServerQueue(uint32_t slots) : slots_(slots) {}
 
   /// Predicted times are multiplied by this before they are held against an objective: the mean
@@ -130,6 +136,7 @@
 
   void Start(ProxyTime now, const PendingCall& call);
   void Observe(uint64_t profile, double us);
+  double MeanServiceTime(ProxyTime now) const;
   ProxyDuration ExpectedWait(ProxyTime now, const PendingCall& call) const;
   ProxyTime LatestStart(const PendingCall& call) const;
   bool LinkIsFull(ProxyTime now, const PendingCall& call) const;
--- a/src/libbase/base_test.cc
+++ b/src/libbase/base_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "libbase/event_ptr.h"
 #include "libbase/http_client.h"
 #include "libbase/mailbox.h"
+#include "libbase/precise_event_base.h"
 
 namespace camphorhoist {
 namespace {
@@ -26,11 +28,26 @@
   CPPUNIT_TEST(HashesContent);
   CPPUNIT_TEST(CollectsFindings);
   CPPUNIT_TEST(ErrorCodesCompare);
+  CPPUNIT_TEST(TimerWithANegativeTimeFiresAtOnce);
   CPPUNIT_TEST(MailboxDoesNotReenter);
   CPPUNIT_TEST(HttpClientTellsRefusedFromUnknown);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a process that libevent ends because a deadline had passed when its timer was
+  // set.
+  void TimerWithANegativeTimeFiresAtOnce() {
+    const EventBasePtr base = NewPreciseEventBase();
+    int fired = 0;
+    std::vector<std::unique_ptr<Timer>> timers;
+    for (const int us : {-1, -999999, -1500000, -60000000}) {
+      timers.push_back(std::make_unique<Timer>(base.get(), [&fired] { ++fired; }));
+      timers.back()->StartOnce(std::chrono::microseconds(us));
+    }
+    event_base_dispatch(base.get());
+    CPPUNIT_ASSERT_EQUAL(4, fired);
+  }
+
   void ParsesAddresses() {
     CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:80"),
                          NetAddress::Parse("127.0.0.1:80")->ToString());
--- a/src/libbase/event_ptr.h
+++ b/src/libbase/event_ptr.h
@@ -6,6 +6,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -46,7 +47,7 @@
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
 
-  /// Fires once after `delay`; replaces an earlier setting.
+  /// Fires once after `delay`, at once if that is below 0; replaces an earlier setting.
   void StartOnce(std::chrono::microseconds delay) {
     once_ = true;
     Add(delay);
@@ -67,7 +68,8 @@
     handler();
   }
   void Add(std::chrono::microseconds delay) {
-    const timeval tv = ToTimeval(delay);
+    // libevent ends the process on a negative time.
+    const timeval tv = ToTimeval(std::max(delay, std::chrono::microseconds(0)));
     event_del(event_.get());
     event_add(event_.get(), &tv);
   }
--- a/src/libproxy/call_placement.cc
+++ b/src/libproxy/call_placement.cc
@@ -63,8 +63,8 @@
 
 ProxyDuration CallPlacement::RetryAfter(ProxyDuration left) const {
   // By half of the wait, the queue has shrunk by as much.
-  const ProxyDuration delay =
-      least_wait_ ? std::max(kMinRetryAfter, *least_wait_ / 2) : kNoServerRetryAfter;
+  ProxyDuration delay = failed_.empty() ? kNoServerRetryAfter : kMinRetryAfter;
+  if (least_wait_) delay = std::max(kMinRetryAfter, *least_wait_ / 2);
   return std::min(delay, std::max(kMinRetryAfter, left / 3));
 }
 
--- a/src/libproxy/call_placement_test.cc
+++ b/src/libproxy/call_placement_test.cc
@@ -111,6 +111,10 @@
     CPPUNIT_ASSERT(second->index != first->index);
     placement.OnFailed(candidates[second->index].node);
     CPPUNIT_ASSERT(!placement.HasAlternative(Pointers(candidates)));
+    // Servers that failed the call were not full: its caller may return at once.
+    CPPUNIT_ASSERT(placement.RetryAfter(std::chrono::seconds(1)) == CallPlacement::kMinRetryAfter);
+    CPPUNIT_ASSERT(CallPlacement().RetryAfter(std::chrono::seconds(1)) ==
+                   CallPlacement::kNoServerRetryAfter);
     CPPUNIT_ASSERT(!placement.Next(kNow, "a", 1500, Pointers(candidates), &rng).has_value());
     CPPUNIT_ASSERT(!placement.overloaded());
   }
--- a/src/libproxy/server_queue.cc
+++ b/src/libproxy/server_queue.cc
@@ -21,8 +21,12 @@
 
 ProxyTime ServerQueue::LatestStart(const PendingCall& call) const {
   const ProxyDuration service = ExpectedServiceTime(call.profile);
-  return call.deadline - call.delivery() -
-         FromMicros(kMinUsefulShare * static_cast<double>(service.count()));
+  const ProxyTime latest = call.deadline - call.delivery() -
+                           FromMicros(kMinUsefulShare * static_cast<double>(service.count()));
+  if (!call.nested) return latest;
+  const double time_us = static_cast<double>(
+      std::chrono::duration_cast<ProxyDuration>(call.deadline - call.offered).count());
+  return std::min(latest, call.offered + FromMicros(kMaxNestedWaitShare * time_us));
 }
 
 bool ServerQueue::GoesBefore(ProxyTime now, const PendingCall& a, const PendingCall& b) const {
@@ -36,7 +40,7 @@
   if (running_.size() < slots_ && waiting_.empty()) return ProxyDuration(0);
   if (slots_ == 0) return std::chrono::hours(1);
   // Slots come free one after the other, on average one per mean service time over their number.
-  double work_us = mean_us_ * (static_cast<double>(running_.size()) + 1 - slots_);
+  double work_us = MeanServiceTime(now) * (static_cast<double>(running_.size()) + 1 - slots_);
   for (const PendingCall& it : waiting_) {
     if (GoesBefore(now, call, it)) continue;
     work_us += static_cast<double>(ExpectedServiceTime(it.profile).count());
@@ -146,6 +150,21 @@
   running_.erase(it);
 }
 
+// Half of the running calls having run for longer than the mean shows a server that has turned slow
+// before any of them ends.
+double ServerQueue::MeanServiceTime(ProxyTime now) const {
+  if (running_.empty()) return mean_us_;
+  std::vector<double> ages;
+  ages.reserve(running_.size());
+  for (const auto& it : running_) {
+    const auto age = std::chrono::duration_cast<ProxyDuration>(now - it.second.since);
+    ages.push_back(static_cast<double>(age.count()));
+  }
+  const auto median = ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
+  std::nth_element(ages.begin(), median, ages.end());
+  return std::max(mean_us_, *median);
+}
+
 bool ServerQueue::Withdraw(uint64_t key) {
   const auto it = std::find_if(waiting_.begin(), waiting_.end(),
                                [key](const PendingCall& call) { return call.key == key; });
@@ -167,7 +186,7 @@
   load.running = static_cast<uint32_t>(running_.size());
   load.queued = static_cast<uint32_t>(waiting_.size());
   load.limit = slots_;
-  load.service_time = FromMicros(mean_us_);
+  load.service_time = FromMicros(MeanServiceTime(now));
   PendingCall ordinary;
   ordinary.objective = ProxyTime::max();
   ordinary.priority = INT32_MAX;
--- a/src/libproxy/server_queue_test.cc
+++ b/src/libproxy/server_queue_test.cc
@@ -17,6 +17,7 @@
   call.key = key;
   call.objective = kStart + milliseconds(objective_ms);
   call.deadline = kStart + milliseconds(deadline_ms);
+  call.offered = kStart;
   call.profile = 1;
   call.priority = priority;
   return call;
@@ -32,6 +33,8 @@
   CPPUNIT_TEST(DropsWhatTheDeadlineOverran);
   CPPUNIT_TEST(LearnsServiceTimes);
   CPPUNIT_TEST(LearnsFromCallsThatAreGivenUp);
+  CPPUNIT_TEST(AgesOfRunningCallsShowASlowServer);
+  CPPUNIT_TEST(NestedCallDoesNotWaitUntilItsDeadline);
   CPPUNIT_TEST(RefusesWhatTheLinkCannotDeliver);
   CPPUNIT_TEST_SUITE_END();
 
@@ -182,6 +185,43 @@
     CPPUNIT_ASSERT(queue.load(kStart).service_time > milliseconds(200));
   }
 
+  // Guards against a server that has just turned slow and takes calls by its earlier times until
+  // the first of the slow ones ends. One straggler says nothing.
+  void AgesOfRunningCallsShowASlowServer() {
+    ServerQueue queue(4);
+    uint64_t key = 1;
+    for (; key <= 60; ++key) {
+      queue.Offer(kStart, Call(key, 900000, 2000000), std::chrono::seconds(10));
+      queue.OnFinish(key, milliseconds(50));
+    }
+    const ProxyTime now = kStart + milliseconds(400);
+    queue.Offer(kStart, Call(key++, 900000, 2000000), std::chrono::seconds(10));
+    for (int i = 0; i < 3; ++i) {
+      queue.Offer(now - milliseconds(10), Call(key++, 900000, 2000000), std::chrono::seconds(10));
+    }
+    CPPUNIT_ASSERT(queue.load(now).service_time <= milliseconds(51));
+    CPPUNIT_ASSERT(queue.load(now + milliseconds(400)).service_time >= milliseconds(400));
+    const auto admission =
+        queue.Offer(now + milliseconds(400), Call(key++, 1000, 3000), std::chrono::seconds(10));
+    CPPUNIT_ASSERT(admission.verdict == ServerQueue::Verdict::kHopeless);
+  }
+
+  // Guards against a nested call that waits at a slow server until its parent fails with it, though
+  // another server has room.
+  void NestedCallDoesNotWaitUntilItsDeadline() {
+    ServerQueue queue(1);
+    queue.Offer(kStart, Call(1, 900, 2000), std::chrono::seconds(10));
+    PendingCall nested = Call(2, 250, 250);
+    nested.nested = true;
+    CPPUNIT_ASSERT(queue.Offer(kStart, nested, std::chrono::seconds(10)).verdict ==
+                   ServerQueue::Verdict::kQueued);
+    CPPUNIT_ASSERT(queue.Advance(kStart + milliseconds(50)).empty());
+    CPPUNIT_ASSERT(queue.NextExpiry() <= kStart + milliseconds(100));
+    const auto steps = queue.Advance(kStart + milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, steps.size());
+    CPPUNIT_ASSERT(!steps[0].start);
+  }
+
   // Guards against predictions that do not follow the speed of the server.
   void LearnsServiceTimes() {
     ServerQueue queue(1);
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -124,6 +124,7 @@
   call.profile = offer.profile;
   call.priority = offer.priority;
   call.nested = offer.nested;
+  call.offered = now;
   const ProxyDuration max_wait = offer.max_wait;
   entry.offer = std::move(offer);
   if (stopping_ || entry.deadline > last_deadline_) return Refuse(id, ResultReason::kStopping);
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(MetricsTellOfRefusals);
   CPPUNIT_TEST(NestedCallIsKnownByItsParent);
   CPPUNIT_TEST(ServerThatKeepsCallersWaitingIsAvoided);
+  CPPUNIT_TEST(NestedCallIsMovedFromASlowServer);
   CPPUNIT_TEST(RefusalDoesNotWaitBehindLargeResponses);
   CPPUNIT_TEST(LargeResponsesSurviveChurnOnASlowLink);
   CPPUNIT_TEST_SUITE_END();
@@ -396,6 +397,37 @@
     CPPUNIT_ASSERT_EQUAL(parent + ".1", FakeUpstream::RequestId(waiting[4].second));
   }
 
+  // Guards against a nested call that stays at a slow server until its parent fails with it.
+  void NestedCallIsMovedFromASlowServer() {
+    SidecarMesh mesh(3);
+    for (size_t i = 0; i < 3; ++i) mesh.Report(i);
+    mesh.WaitUntilServing(0);
+    mesh.PumpFor(milliseconds(200));
+    // One of the upstreams keeps nested calls.
+    std::vector<std::pair<RawServer::Connection*, std::string>> parents;
+    for (size_t i = 0; i < 3; ++i) {
+      mesh.at(i).upstream->set_answer(
+          [&parents, i](RawServer::Connection* connection, const std::string& head) {
+            const bool nested = FakeUpstream::RequestId(head).find('.') != std::string::npos;
+            if (nested && i == 0) return;
+            if (nested) return FakeUpstream::Ok(connection, head);
+            parents.emplace_back(connection, head);
+          });
+    }
+    RawClient parent(mesh.at(0).settings.caller_listen);
+    parent.Send(RequestText("POST", "/unsafe/x", "parent", ""));
+    CPPUNIT_ASSERT(mesh.Pump([&] { return parents.size() == 1; }));
+    size_t runs_parent = 0;
+    while (mesh.at(runs_parent).upstream->heads().empty() ||
+           mesh.at(runs_parent).upstream->heads().back().find("parent") == std::string::npos) {
+      ++runs_parent;
+    }
+    for (int i = 0; i < 6; ++i) {
+      const std::string id = "parent." + std::to_string(i);
+      CPPUNIT_ASSERT_EQUAL(200, StatusOf(mesh.Call(runs_parent, "GET", "/safe/x", id)));
+    }
+  }
+
   // Guards against a server that lets some calls wait until their callers leave, and reports good
   // times with the others: nested calls went to it again and again until their deadline.
   void ServerThatKeepsCallersWaitingIsAvoided() {
