Calls to silent peers are moved, slowdown of the VM in predictions, truthful end of repeated calls

Cause: in a zone cut, idempotent calls under way to the other side waited 850 ms before they were placed elsewhere. Neighbours slow a VM down 2.5 times for some 600 ms, which predictions followed by a moving average only. A call that a server may have run, and that no other took, was answered 503, which says that it has not run.

--- a/include/camphorhoist/server_picker.h
+++ b/include/camphorhoist/server_picker.h
@@ -42,9 +42,9 @@
 class ServerPicker {
  public:
   /// Cost of leaving the zone: two network delays, and the bytes of the response, which are paid
-  /// for. With this factor, a response of 100 KB leaves its zone only if that saves some 150 ms.
+  /// for. With this factor, a response of 100 KB leaves its zone only if that saves some 400 ms.
   static constexpr ProxyDuration kOtherZoneCost{2000};
-  static constexpr double kOtherZoneMicrosPerByte = 1.5;
+  static constexpr double kOtherZoneMicrosPerByte = 4;
   /// Time in which the occupancy is expected to return from the reported to the usual one.
   static constexpr ProxyDuration kReportLifetime{300000};
   /// Responses from this size on wait for the link of the server's VM.
--- a/include/camphorhoist/server_queue.h
+++ b/include/camphorhoist/server_queue.h
@@ -74,6 +74,10 @@
   /// another server may still run it in time.
   static constexpr double kMaxNestedWaitShare = 0.3;
 
+  /// Bounds on a reported slowdown, against reports that make no sense.
+  static constexpr double kMinSlowdown = 0.2;
+  static constexpr double kMaxSlowdown = 20;
+
   explicit ServerQueue(uint32_t slots) : slots_(slots) {}
 
   /// Predicted times are multiplied by this before they are held against an objective: the mean
@@ -120,6 +124,10 @@
   std::vector<uint64_t> WithdrawAll();
 
   void set_slots(uint32_t slots) { slots_ = slots; }
+  /// How long work takes on the server's VM now, relative to normal, as the server reports it.
+  /// Service times are learned without it, so that predictions follow it at once. Values outside of
+  /// `kMinSlowdown` and `kMaxSlowdown` are limited to them.
+  void SetSlowdown(double slowdown);
   uint32_t slots() const { return slots_; }
   size_t running() const { return running_.size(); }
   size_t queued() const { return waiting_.size(); }
@@ -132,10 +140,11 @@
   struct Running {
     ProxyTime since{};
     uint64_t profile = 0;
+    double slowdown = 1;
   };
 
   void Start(ProxyTime now, const PendingCall& call);
-  void Observe(uint64_t profile, double us);
+  void Observe(const Running& call, double us);
   double MeanServiceTime(ProxyTime now) const;
   ProxyDuration ExpectedWait(ProxyTime now, const PendingCall& call) const;
   ProxyTime LatestStart(const PendingCall& call) const;
@@ -145,6 +154,8 @@
   bool GoesBefore(ProxyTime now, const PendingCall& a, const PendingCall& b) const;
 
   uint32_t slots_;
+  double slowdown_ = 1;
+  /// Without the slowdown at the time, as are those of the profiles.
   double mean_us_ = kInitialServiceTime.count();
   std::unordered_map<uint64_t, double> profile_us_;
   std::map<uint64_t, Running> running_;
--- a/src/libproxy/server_queue.cc
+++ b/src/libproxy/server_queue.cc
@@ -16,7 +16,7 @@
 
 ProxyDuration ServerQueue::ExpectedServiceTime(uint64_t profile) const {
   const auto it = profile_us_.find(profile);
-  return FromMicros(it == profile_us_.end() ? mean_us_ : it->second);
+  return FromMicros(slowdown_ * (it == profile_us_.end() ? mean_us_ : it->second));
 }
 
 ProxyTime ServerQueue::LatestStart(const PendingCall& call) const {
@@ -84,7 +84,7 @@
 }
 
 void ServerQueue::Start(ProxyTime now, const PendingCall& call) {
-  running_[call.key] = Running{now, call.profile};
+  running_[call.key] = Running{now, call.profile, slowdown_};
 }
 
 bool ServerQueue::Late(ProxyTime now, const PendingCall& call) const {
@@ -126,17 +126,22 @@
   return steps;
 }
 
-void ServerQueue::Observe(uint64_t profile, double us) {
-  mean_us_ += kServiceTimeGain * (us - mean_us_);
+void ServerQueue::SetSlowdown(double slowdown) {
+  slowdown_ = std::min(std::max(slowdown, kMinSlowdown), kMaxSlowdown);
+}
+
+void ServerQueue::Observe(const Running& call, double us) {
+  const double normal_us = us / ((call.slowdown + slowdown_) / 2);
+  mean_us_ += kServiceTimeGain * (normal_us - mean_us_);
   if (profile_us_.size() >= kMaxProfiles) profile_us_.clear();
-  const auto [it, is_new] = profile_us_.try_emplace(profile, us);
-  if (!is_new) it->second += kServiceTimeGain * (us - it->second);
+  const auto [it, is_new] = profile_us_.try_emplace(call.profile, normal_us);
+  if (!is_new) it->second += kServiceTimeGain * (normal_us - it->second);
 }
 
 void ServerQueue::OnFinish(uint64_t key, ProxyDuration service_time) {
   const auto it = running_.find(key);
   if (it == running_.end()) return;
-  Observe(it->second.profile, static_cast<double>(service_time.count()));
+  Observe(it->second, static_cast<double>(service_time.count()));
   running_.erase(it);
 }
 
@@ -145,7 +150,7 @@
   if (it == running_.end()) return;
   const auto ran = std::chrono::duration_cast<ProxyDuration>(now - it->second.since);
   if (ran > ExpectedServiceTime(it->second.profile)) {
-    Observe(it->second.profile, static_cast<double>(ran.count()));
+    Observe(it->second, static_cast<double>(ran.count()));
   }
   running_.erase(it);
 }
@@ -153,7 +158,7 @@
 // Half of the running calls having run for longer than the mean shows a server that has turned slow
 // before any of them ends.
 double ServerQueue::MeanServiceTime(ProxyTime now) const {
-  if (running_.empty()) return mean_us_;
+  if (running_.empty()) return slowdown_ * mean_us_;
   std::vector<double> ages;
   ages.reserve(running_.size());
   for (const auto& it : running_) {
@@ -162,7 +167,7 @@
   }
   const auto median = ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
   std::nth_element(ages.begin(), median, ages.end());
-  return std::max(mean_us_, *median);
+  return std::max(slowdown_ * mean_us_, *median);
 }
 
 bool ServerQueue::Withdraw(uint64_t key) {
--- a/src/libproxy/server_queue_test.cc
+++ b/src/libproxy/server_queue_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(LearnsServiceTimes);
   CPPUNIT_TEST(LearnsFromCallsThatAreGivenUp);
   CPPUNIT_TEST(AgesOfRunningCallsShowASlowServer);
+  CPPUNIT_TEST(PredictionsFollowTheSlowdownOfTheVm);
   CPPUNIT_TEST(NestedCallDoesNotWaitUntilItsDeadline);
   CPPUNIT_TEST(RefusesWhatTheLinkCannotDeliver);
   CPPUNIT_TEST_SUITE_END();
@@ -206,6 +207,27 @@
     CPPUNIT_ASSERT(admission.verdict == ServerQueue::Verdict::kHopeless);
   }
 
+  // Guards against calls that are admitted by the usual speed while neighbours slow the VM down,
+  // and against a usual speed that is learned from such times.
+  void PredictionsFollowTheSlowdownOfTheVm() {
+    ServerQueue queue(1);
+    queue.SetSlowdown(2.5);
+    uint64_t key = 1;
+    for (; key <= 60; ++key) {
+      queue.Offer(kStart, Call(key, 900000, 2000000), std::chrono::seconds(10));
+      queue.OnFinish(key, milliseconds(250));
+    }
+    CPPUNIT_ASSERT(queue.ExpectedServiceTime(1) >= milliseconds(240));
+    queue.SetSlowdown(1);
+    const ProxyDuration usual = queue.ExpectedServiceTime(1);
+    CPPUNIT_ASSERT(usual >= milliseconds(95) && usual <= milliseconds(100));
+    CPPUNIT_ASSERT(queue.load(kStart).service_time <= milliseconds(100));
+    queue.SetSlowdown(0);
+    CPPUNIT_ASSERT(queue.ExpectedServiceTime(1) > milliseconds(0));
+    queue.SetSlowdown(1e9);
+    CPPUNIT_ASSERT(queue.ExpectedServiceTime(1) < std::chrono::seconds(10));
+  }
+
   // Guards against a nested call that waits at a slow server until its parent fails with it, though
   // another server has room.
   void NestedCallDoesNotWaitUntilItsDeadline() {
--- a/src/libproxy/testing/load_replay.cc
+++ b/src/libproxy/testing/load_replay.cc
@@ -214,6 +214,8 @@
     const bool whole = started + full <= attempt->deadline;
     const double took = whole ? full : attempt->deadline - started;
     clock_.Schedule(started + took, [this, attempt, server, key, took, whole] {
+      // A response tells how fast the server's VM is at this moment.
+      queues_[server].SetSlowdown(scenario_.servers[server].slowness(clock_.now() / 1000));
       if (whole) {
         queues_[server].OnFinish(key, ProxyDuration(static_cast<int64_t>(took * 1000)));
       } else {
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -239,6 +239,7 @@
         .Add("request", call->request_id)
         .Add("node", peer->node)
         .Add("status", result.status);
+    call->may_have_run = true;
     return Place(call);
   }
   metrics_->Count("responses_total");
@@ -301,6 +302,7 @@
         .Add("request", call->request_id)
         .Add("node", node)
         .Add("reason", ToString(reason));
+    call->may_have_run = true;
     return Place(call);
   }
   const bool expired = reason == ResultReason::kTimeout || steady_clock::now() >= call->deadline;
@@ -325,6 +327,18 @@
   }
 }
 
+void Dispatcher::OnPeerSuspect(Peer* peer) {
+  std::vector<Handle> handles;
+  for (const auto& [handle, call] : calls_) {
+    const bool offered = call->node == peer->node && by_offer_.count(call->offer_id) != 0;
+    if (offered && call->route.idempotent() && !call->by_bulk_link) handles.push_back(handle);
+  }
+  for (const Handle handle : handles) {
+    const auto it = calls_.find(handle);
+    if (it != calls_.end()) MoveOffer(it->second.get(), "silent");
+  }
+}
+
 void Dispatcher::OnPeerDown(Peer* peer, bool gone) {
   std::vector<Handle> handles;
   for (const auto& [handle, call] : calls_) {
@@ -424,17 +438,27 @@
   Peer* peer = directory_->Find(call->node);
   if (peer == nullptr || by_offer_.count(call->offer_id) == 0) return;
   RecordOutcome(peer, true);
+  MoveOffer(call, "slow");
+}
+
+// Gives the offer under way up for another server, if one may still be tried.
+void Dispatcher::MoveOffer(Call* call, const char* reason) {
   call->placement.OnFailed(call->node);
   ++call->servers_reached;
-  if (!MayRepeat(call)) return;
+  if (!MayRepeat(call)) {
+    --call->servers_reached;
+    return;
+  }
   metrics_->Count("moved_total");
   LogEvent(LogLevel::kInfo, "call", "moved")
       .Add("request", call->request_id)
       .Add("service", call->service)
       .Add("node", call->node)
+      .Add("reason", reason)
       .Add("offered_ms",
            Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->offered)));
   CancelOffer(call);
+  call->may_have_run = true;
   call->lost_timer.reset();
   Place(call);
 }
@@ -449,6 +473,7 @@
 }
 
 void Dispatcher::Refuse(Call* call, const char* reason) {
+  if (call->may_have_run) return Fail(call, kBadGateway, reason);
   const auto now = steady_clock::now();
   const ProxyDuration left =
       std::max(ProxyDuration(0), duration_cast<ProxyDuration>(call->deadline - now));
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -84,6 +84,8 @@
 
   void OnResult(Peer* peer, CallResult result);
   void OnPeerUp(Peer* peer);
+  /// The peer gives no sign of life: idempotent calls are moved while their objective can be met.
+  void OnPeerSuspect(Peer* peer);
   void OnPeerDown(Peer* peer, bool gone);
 
  private:
@@ -110,6 +112,8 @@
     /// The connection to `node` broke with the offer under way.
     bool lost = false;
     int servers_reached = 0;
+    /// A server was given the call and may have run it, so that it must not be refused as not run.
+    bool may_have_run = false;
     CallPlacement placement;
     std::unique_ptr<Timer> timer;
     std::unique_ptr<Timer> lost_timer;
@@ -128,10 +132,13 @@
   bool MayRepeat(Call* call);
   void OnDeadline(Handle handle);
   void OnSlowOffer(Handle handle);
+  void MoveOffer(Call* call, const char* reason);
   void OnLostTooLong(Handle handle);
   void OnOfferLost(Call* call);
   void RepeatOffer(Call* call, Peer* peer);
   void CancelOffer(Call* call);
+  /// Tells the caller that the call has not run and when to return. One that may have run fails
+  /// instead.
   void Refuse(Call* call, const char* reason);
   void Fail(Call* call, int status, const char* reason);
   void Finish(Call* call, CallerResponse response);
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -184,6 +184,7 @@
   result.headers = std::move(outcome.headers);
   result.body = std::move(outcome.body);
   const auto now = steady_clock::now();
+  if (outcome.decoded.load) queue_.SetSlowdown(outcome.decoded.load->slowdown);
   if (outcome.kind == ResultKind::kResponse) {
     queue_.OnFinish(entry.key, duration_cast<ProxyDuration>(now - entry.started));
   } else {
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(IdempotentCallSurvivesABrokenAnswer);
   CPPUNIT_TEST(NonIdempotentCallRunsOnce);
   CPPUNIT_TEST(RefusalOfTheServerGoesElsewhere);
+  CPPUNIT_TEST(CallThatMayHaveRunIsNotRefused);
   CPPUNIT_TEST(AnswerOfAnotherRequestIsNotPassedOn);
   CPPUNIT_TEST(AnswerWithoutLengthIsWholeOnlyAfterAnOrderlyClose);
   CPPUNIT_TEST(CallerThatLeavesCancelsItsCall);
@@ -155,6 +156,30 @@
     }
   }
 
+  // Guards against a refusal, which says that the call has not run, after one server may have run
+  // it and the next one did not take it.
+  void CallThatMayHaveRunIsNotRefused() {
+    SidecarMesh mesh(2);
+    mesh.Report(0);
+    mesh.Report(1);
+    mesh.WaitUntilServing(0);
+    mesh.at(0).upstream->set_answer(
+        [](RawServer::Connection* connection, const std::string&) { connection->Close(); });
+    mesh.at(1).upstream->set_answer([](RawServer::Connection* connection, const std::string&) {
+      connection->Write("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    for (int i = 0; i < 6; ++i) {
+      const std::string id = "id-" + std::to_string(i);
+      const int status = StatusOf(mesh.Call(0, "GET", "/safe/x", id));
+      const std::string& head = mesh.at(0).upstream->heads().empty()
+                                    ? std::string()
+                                    : mesh.at(0).upstream->heads().back();
+      const bool may_have_run = FakeUpstream::RequestId(head) == id;
+      CPPUNIT_ASSERT_EQUAL(may_have_run ? 502 : 503, status);
+    }
+    CPPUNIT_ASSERT(!mesh.at(0).upstream->heads().empty());
+  }
+
   // Guards against a second answer that is taken for the answer to the next request.
   void AnswerOfAnotherRequestIsNotPassedOn() {
     SidecarMesh mesh(1);
