--- a/src/camphorhoist_sidecar/main.cc
+++ b/src/camphorhoist_sidecar/main.cc
@@ -147,6 +147,9 @@
 }
 
 int Main(int argc, const char** argv) {
+  // A reload that is asked for before the handler exists would end the process. The settings are
+  // read after this, and the file is looked at again later.
+  signal(SIGHUP, SIG_IGN);
   Findings findings;
   bool help = false;
   const std::optional<Options> options = ReadOptions(argc, argv, &findings, &help);
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -177,12 +177,6 @@
       call->route.kind == RequestKind::kBulk && !peer->local() && peer->bulk_link->up();
   by_offer_[call->offer_id] = call->handle;
   if (!peer->local()) LinkOf(*call, peer)->AddOutstanding(1);
-  if (call->nested && call->route.idempotent()) {
-    const Handle handle = call->handle;
-    call->move_timer = std::make_unique<Timer>(base_, [this, handle] { OnSlowOffer(handle); });
-    const std::chrono::duration<double, std::micro> left = call->deadline - call->offered;
-    call->move_timer->StartOnce(duration_cast<ProxyDuration>(kNestedMoveShare * left));
-  }
   SendOffer(call, peer, max_wait);
 }
 
@@ -327,18 +321,6 @@
   }
 }
 
-void Dispatcher::OnPeerSuspect(Peer* peer) {
-  std::vector<Handle> handles;
-  for (const auto& [handle, call] : calls_) {
-    const bool offered = call->node == peer->node && by_offer_.count(call->offer_id) != 0;
-    if (offered && call->route.idempotent() && !call->by_bulk_link) handles.push_back(handle);
-  }
-  for (const Handle handle : handles) {
-    const auto it = calls_.find(handle);
-    if (it != calls_.end()) MoveOffer(it->second.get(), "silent");
-  }
-}
-
 void Dispatcher::OnPeerDown(Peer* peer, bool gone) {
   std::vector<Handle> handles;
   for (const auto& [handle, call] : calls_) {
@@ -431,38 +413,6 @@
   calls_.erase(it);
 }
 
-void Dispatcher::OnSlowOffer(Handle handle) {
-  const auto it = calls_.find(handle);
-  if (it == calls_.end()) return;
-  Call* call = it->second.get();
-  Peer* peer = directory_->Find(call->node);
-  if (peer == nullptr || by_offer_.count(call->offer_id) == 0) return;
-  RecordOutcome(peer, true);
-  MoveOffer(call, "slow");
-}
-
-// Gives the offer under way up for another server, if one may still be tried.
-void Dispatcher::MoveOffer(Call* call, const char* reason) {
-  call->placement.OnFailed(call->node);
-  ++call->servers_reached;
-  if (!MayRepeat(call)) {
-    --call->servers_reached;
-    return;
-  }
-  metrics_->Count("moved_total");
-  LogEvent(LogLevel::kInfo, "call", "moved")
-      .Add("request", call->request_id)
-      .Add("service", call->service)
-      .Add("node", call->node)
-      .Add("reason", reason)
-      .Add("offered_ms",
-           Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->offered)));
-  CancelOffer(call);
-  call->may_have_run = true;
-  call->lost_timer.reset();
-  Place(call);
-}
-
 void Dispatcher::OnDeadline(Handle handle) {
   const auto it = calls_.find(handle);
   if (it == calls_.end()) return;
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -61,10 +61,6 @@
   static constexpr int kSlowOfferFactor = 3;
   /// Weight of a new observation of a response size.
   static constexpr double kResponseSizeGain = 0.05;
-  /// Share of its time after which an idempotent nested call that has no result is moved to another
-  /// server. Nested calls are short and equal, so that one that takes this long is at a slow
-  /// server, and its parent fails with it.
-  static constexpr double kNestedMoveShare = 0.4;
   /// Time that a caller is taken to have while this sidecar has no configuration.
   static constexpr std::chrono::milliseconds kUnknownTimeout{1000};
 
@@ -84,8 +80,6 @@
 
   void OnResult(Peer* peer, CallResult result);
   void OnPeerUp(Peer* peer);
-  /// The peer gives no sign of life: idempotent calls are moved while their objective can be met.
-  void OnPeerSuspect(Peer* peer);
   void OnPeerDown(Peer* peer, bool gone);
 
  private:
@@ -117,8 +111,6 @@
     CallPlacement placement;
     std::unique_ptr<Timer> timer;
     std::unique_ptr<Timer> lost_timer;
-    /// Moves a nested call to another server.
-    std::unique_ptr<Timer> move_timer;
   };
 
   const std::string& ChooseService(const MeshRoute& route);
@@ -131,8 +123,6 @@
   void OnUnknown(Call* call, const std::string& node, ResultReason reason);
   bool MayRepeat(Call* call);
   void OnDeadline(Handle handle);
-  void OnSlowOffer(Handle handle);
-  void MoveOffer(Call* call, const char* reason);
   void OnLostTooLong(Handle handle);
   void OnOfferLost(Call* call);
   void RepeatOffer(Call* call, Peer* peer);
--- a/src/libsidecar/peer_directory.cc
+++ b/src/libsidecar/peer_directory.cc
@@ -100,12 +100,9 @@
   };
   if (bulk) {
     handlers.on_up = [](const PeerHello&) {};
-    // Its silence may be due to large responses, and the other connection tells.
-    handlers.on_suspect = [] {};
     handlers.on_down = [this, peer](bool, const std::string&) { handlers_.on_down(peer, false); };
   } else {
     handlers.on_up = [this, peer](const PeerHello& hello) { OnUp(peer, hello); };
-    handlers.on_suspect = [this, peer] { handlers_.on_suspect(peer); };
     handlers.on_down = [this, peer](bool refused, const std::string& reason) {
       OnDown(peer, refused, reason);
     };
--- a/src/libsidecar/peer_directory.h
+++ b/src/libsidecar/peer_directory.h
@@ -51,8 +51,6 @@
     std::function<void(Peer*, PeerMessage)> on_message;
     /// The peer can be reached (again); its `incarnation` is that of the hello.
     std::function<void(Peer*)> on_up;
-    /// The peer gives no sign of life.
-    std::function<void(Peer*)> on_suspect;
     /// `gone`: the process that ran there has ended, or the peer was removed.
     std::function<void(Peer*, bool gone)> on_down;
   };
--- a/src/libsidecar/peer_link.cc
+++ b/src/libsidecar/peer_link.cc
@@ -90,8 +90,6 @@
     return OnClosed("silent");
   }
   if (up_ && silence >= kPingInterval) stream_->Send(PeerPing{});
-  const bool suspected = up_ && silence >= kSuspicion;
-  if (std::exchange(suspected_, suspected) != suspected && suspected) handlers_.on_suspect();
 }
 
 void PeerLink::Send(PeerMessage message) {
--- a/src/libsidecar/peer_link.h
+++ b/src/libsidecar/peer_link.h
@@ -25,8 +25,6 @@
     /// The peer's hello has arrived.
     std::function<void(const PeerHello&)> on_up;
     std::function<void(PeerMessage)> on_message;
-    /// The peer gives no sign of life, though the connection is not given up yet.
-    std::function<void()> on_suspect;
     /// `refused`: the VM answers and no process listens there.
     std::function<void(bool refused, const std::string& reason)> on_down;
   };
@@ -80,8 +78,6 @@
   bool connected_ = false;
   bool up_ = false;
   int outstanding_ = 0;
-  /// `on_suspect` was called in this silence.
-  bool suspected_ = false;
   /// Results whose bodies have not come whole yet.
   std::unordered_map<CallId, CallResult> parted_;
   /// Since when a sign of life is expected.
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -46,7 +46,6 @@
                           OnPeerMessage(peer, std::move(message));
                         },
                         [this](Peer* peer) { dispatcher_.OnPeerUp(peer); },
-                        [this](Peer* peer) { dispatcher_.OnPeerSuspect(peer); },
                         [this](Peer* peer, bool gone) { dispatcher_.OnPeerDown(peer, gone); }}),
       dispatcher_(base, &settings_, incarnation, &directory_, &local_, &metrics_),
       peer_listener_(
