Upstream beside the sidecar: ids of calls by value

Cause: when the upstream reports that it leaves, its waiting calls are refused by an id that is a reference into a map; the entry is removed on the way, and the id was used after that.

Ruled out: the watch duty that began at the same moment, and the connections that were lost just before.

Conclusion: the functions that end a call take its id by value. The new test shows the fault with sanitizers only.

--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -217,7 +217,7 @@
       .Add("after_ms", (steady_clock::now() - entry.started) / milliseconds(1));
 }
 
-void LocalUpstream::Abort(const CallId& id, Entry* entry, ResultReason reason) {
+void LocalUpstream::Abort(CallId id, Entry* entry, ResultReason reason) {
   pool_.Cancel(entry->handle);
   queue_.OnAbort(steady_clock::now(), entry->key);
   CallResult result = NewResult(id, ResultKind::kUnknown, reason);
@@ -226,11 +226,11 @@
   Advance();
 }
 
-void LocalUpstream::Refuse(const CallId& id, ResultReason reason) {
+void LocalUpstream::Refuse(CallId id, ResultReason reason) {
   Finish(id, &entries_.at(id), NewResult(id, ResultKind::kNotRun, reason));
 }
 
-void LocalUpstream::Finish(const CallId& id, Entry* entry, CallResult result) {
+void LocalUpstream::Finish(CallId id, Entry* entry, CallResult result) {
   const auto now = steady_clock::now();
   by_key_.erase(entry->key);
   const auto running = running_ids_.find(entry->request_id);
--- a/src/libsidecar/local_upstream.h
+++ b/src/libsidecar/local_upstream.h
@@ -99,10 +99,11 @@
   void Run(const CallId& id, Entry* entry);
   void OnOutcome(const CallId& id, UpstreamOutcome outcome);
   void OnDeadline(const CallId& id);
-  void Finish(const CallId& id, Entry* entry, CallResult result);
-  void Refuse(const CallId& id, ResultReason reason);
+  /// Takes the id by value: it may be that of a map from which this function removes it.
+  void Finish(CallId id, Entry* entry, CallResult result);
+  void Refuse(CallId id, ResultReason reason);
   /// Closes the connection of a running call, of which the outcome is then unknown.
-  void Abort(const CallId& id, Entry* entry, ResultReason reason);
+  void Abort(CallId id, Entry* entry, ResultReason reason);
   void LogNoResponse(const Entry& entry, ResultReason reason, bool sent) const;
   void Advance();
   void ForgetOld();
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -25,6 +25,7 @@
   CPPUNIT_TEST(AnswerWithoutLengthIsWholeOnlyAfterAnOrderlyClose);
   CPPUNIT_TEST(CallerThatLeavesCancelsItsCall);
   CPPUNIT_TEST(DrainedUpstreamGetsNothing);
+  CPPUNIT_TEST(DrainSendsWaitingCallsElsewhere);
   CPPUNIT_TEST(DrainOutlivesTheSidecar);
   CPPUNIT_TEST(KilledSidecarIsLeftOutAndComesBack);
   CPPUNIT_TEST(OversizedAndMalformedRequests);
@@ -263,6 +264,39 @@
     }
   }
 
+  // Guards against calls that wait for a server which leaves, and against the use of their ids
+  // after they were freed, which ended the process; only the build with sanitizers shows the
+  // latter.
+  void DrainSendsWaitingCallsElsewhere() {
+    SidecarMesh mesh(2);
+    mesh.Report(0);
+    mesh.WaitUntilServing(0);
+    mesh.at(0).upstream->set_answer([](RawServer::Connection*, const std::string&) {});
+    // Four slots, and calls that wait behind them.
+    constexpr size_t kSlots = 4;
+    constexpr size_t kCalls = 10;
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (size_t i = 0; i < kCalls; ++i) {
+      clients.push_back(std::make_unique<RawClient>(mesh.at(0).settings.caller_listen));
+      clients.back()->Send(RequestText("POST", "/unsafe/x", "id-" + std::to_string(i), ""));
+    }
+    const size_t before = mesh.at(0).upstream->heads().size();
+    CPPUNIT_ASSERT(mesh.Pump([&] {
+      return mesh.at(0).upstream->heads().size() == before + kSlots &&
+             mesh.Metrics(0).find("upstream_queued 0\n") == std::string::npos;
+    }));
+    mesh.Report(1);
+    mesh.PumpFor(milliseconds(20));
+    mesh.Report(0, "draining");
+    size_t answered = 0;
+    CPPUNIT_ASSERT(mesh.Pump([&] {
+      answered = 0;
+      for (const auto& it : clients) answered += IsWhole(it->Read()) ? 1 : 0;
+      return answered == kCalls - kSlots;
+    }));
+    CPPUNIT_ASSERT_EQUAL(before + kSlots, mesh.at(0).upstream->heads().size());
+  }
+
   // Guards against a restarted sidecar that takes a late report of a leaving server.
   void DrainOutlivesTheSidecar() {
     SidecarMesh mesh(2);
