--- a/src/libsidecar/link_pacer_test.cc
+++ b/src/libsidecar/link_pacer_test.cc
@@ -57,7 +57,8 @@
     }
     CPPUNIT_ASSERT_EQUAL(kSize, sum);
     // All but the last part have to have left, less the part that may make up for a late timer.
-    const std::chrono::duration<double> least((kSize - parts.back()) / pacer.rate());
+    const std::chrono::duration<double> least(static_cast<double>(kSize - parts.back()) /
+                                              pacer.rate());
     CPPUNIT_ASSERT(steady_clock::now() - start >= least - LinkPacer::kPartTime);
     CPPUNIT_ASSERT(pacer.empty());
   }
@@ -98,7 +99,7 @@
     PeerLink link(
         base.get(), address, milliseconds(600),
         {[] { return PeerHello(); }, [&](const PeerHello&) { up = true; },
-         [&](PeerMessage message) { results.push_back(std::get<CallResult>(std::move(message))); },
+         [&](const PeerMessage& message) { results.push_back(std::get<CallResult>(message)); },
          [](bool, const std::string&) {}});
     CPPUNIT_ASSERT(PumpUntil(base.get(), [&] { return peer != nullptr; }));
     peer->Send(PeerHello());
