--- a/src/libsidecar/link_pacer_test.cc
+++ b/src/libsidecar/link_pacer_test.cc
@@ -90,7 +90,7 @@
                            void* arg) {
       *static_cast<std::unique_ptr<FrameStream>*>(arg) = std::make_unique<FrameStream>(
           evconnlistener_get_base(listener), fd,
-          FrameStream::Handlers{[] {}, [](PeerMessage) {}, [](const std::string&) {}});
+          FrameStream::Handlers{[] {}, [](const PeerMessage&) {}, [](const std::string&) {}});
     };
     const ListenerPtr listener = Listen(base.get(), address, accept, &peer, &ec);
     CPPUNIT_ASSERT(listener != nullptr);
