Membership: a datagram about an unknown member no longer ends the daemon

A key list with incarnation 0 of an unknown address, and any datagram whose sender has incarnation 0 and is unknown, made Membership read an empty optional: nothing is known of the member, so there is no claim to send back. One datagram sufficed.

Both places now send a claim only if there is one.

--- a/src/libmember/exchange.cc
+++ b/src/libmember/exchange.cc
@@ -390,7 +390,9 @@
     const bool same = record != nullptr && IsLive(record->state) &&
                       key.incarnation == record->entry.incarnation &&
                       key.sequence == record->entry.sequence;
-    if (!same) updates.push_back(*table_.UpdateOf(key.address));
+    if (same) continue;
+    // Nothing is known of a member that a key lists with incarnation 0.
+    if (auto update = table_.UpdateOf(key.address)) updates.push_back(std::move(*update));
   }
   if (const auto* dc = table_.FindDataCentre(message.data_centre)) {
     for (const MemberId& id : dc->live) {
--- a/src/libmember/membership.cc
+++ b/src/libmember/membership.cc
@@ -137,9 +137,8 @@
           ? record->state != MemberState::kAlive &&
                 record->entry.incarnation >= message.sender_incarnation
           : table_.TombstoneIncarnation(message.sender).value_or(0) >= message.sender_incarnation;
-  if (needs_refutation) {
-    SendUpdates(now, message.sender, {*table_.UpdateOf(message.sender)}, 1, out);
-  }
+  const std::optional<MemberUpdate> claim = table_.UpdateOf(message.sender);
+  if (needs_refutation && claim) SendUpdates(now, message.sender, {*claim}, 1, out);
 }
 
 void Membership::Impl::ReadVersionSets(MemberTime now, const MemberMessage& message,
--- a/src/libmember/membership_test.cc
+++ b/src/libmember/membership_test.cc
@@ -51,6 +51,8 @@
   CPPUNIT_TEST(DigestsRepairLostUpdates);
   CPPUNIT_TEST(VersionsReachOtherDataCentres);
   CPPUNIT_TEST(OwnEntrySizeIsBounded);
+  CPPUNIT_TEST(KeysOfUnknownMembersAreIgnored);
+  CPPUNIT_TEST(SurvivesMessagesWithArbitraryFields);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -450,7 +452,74 @@
     CPPUNIT_ASSERT_EQUAL(size_t{3}, membership.self().endpoints.size());
   }
 
+  // Guards against one datagram that ends the process: a key with incarnation 0, and a sender with
+  // incarnation 0, of which nothing is known that could be sent back.
+  void KeysOfUnknownMembersAreIgnored() {
+    std::mt19937_64 rng(16);
+    Membership membership = MakeMembership();
+    MemberMessage keys = MessageFrom(1);
+    keys.kind = MessageKind::kKeys;
+    keys.keys.push_back({MeshFake::Id(0, 7), 0, 0});
+    ExpectOnlyKnownUpdates(membership.OnMessage(start_, rng, keys.sender, keys));
+    MemberMessage unknown_sender = MessageFrom(2);
+    unknown_sender.sender_incarnation = 0;
+    ExpectOnlyKnownUpdates(
+        membership.OnMessage(start_, rng, unknown_sender.sender, unknown_sender));
+  }
+
+  // Guards against any other combination of fields that the code does not expect. The sanitizer
+  // build checks the accesses.
+  void SurvivesMessagesWithArbitraryFields() {
+    constexpr int kMessages = 20000;
+    constexpr uint64_t kIncarnations[] = {0, 1, 5, 6, 7, UINT64_MAX};
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+      std::mt19937_64 rng(seed);
+      const auto below = [&rng](uint64_t bound) { return rng() % bound; };
+      const auto incarnation = [&] { return kIncarnations[below(std::size(kIncarnations))]; };
+      const auto id = [&] { return MeshFake::Id(0, static_cast<int>(below(6))); };
+      Membership membership = MakeMembership();
+      MemberTime now = start_;
+      for (int i = 0; i < kMessages; ++i) {
+        MemberMessage message = MessageFrom(static_cast<int>(1 + below(5)));
+        message.kind =
+            static_cast<MessageKind>(below(static_cast<uint64_t>(MessageKind::kAnnounce) + 1));
+        message.sender_incarnation = incarnation();
+        message.target = id();
+        message.data_centre = below(2) == 0 ? "dc0" : "other";
+        message.bucket_mask = rng();
+        for (uint64_t n = below(3); n > 0; --n) {
+          message.keys.push_back({id(), incarnation(), below(3)});
+        }
+        for (uint64_t n = below(3); n > 0; --n) {
+          MemberUpdate update = Update(static_cast<int>(below(6)), incarnation(), below(3),
+                                       static_cast<MemberState>(below(4)));
+          update.has_entry = below(2) == 0;
+          message.updates.push_back(update);
+        }
+        std::error_code ec;
+        const std::string bytes = EncodeMemberMessage(message, &ec);
+        if (ec) continue;
+        const auto decoded = DecodeMemberMessage(bytes, &ec);
+        if (!decoded) continue;
+        ExpectOnlyKnownUpdates(membership.OnMessage(now, rng, message.sender, *decoded));
+        now += std::chrono::milliseconds(below(200));
+        if (below(10) == 0) membership.Tick(now, rng);
+      }
+    }
+  }
+
  private:
+  /// Fails if a message is about to be sent that contains an update without an address.
+  static void ExpectOnlyKnownUpdates(const MemberEffects& effects) {
+    for (const MemberEffect& effect : effects) {
+      const auto* send = std::get_if<SendMessage>(&effect);
+      if (send == nullptr) continue;
+      for (const MemberUpdate& it : send->message.updates) {
+        CPPUNIT_ASSERT(it.entry.address != MemberId());
+      }
+    }
+  }
+
   static Membership MakeMembership() {
     MembershipOptions options;
     options.mesh = "test";
