--- a/include/camphorhoist/call_placement.h
+++ b/include/camphorhoist/call_placement.h
@@ -46,10 +46,9 @@
   };
 
   /// Returns the next offer, or nothing if the call has to be refused. `candidates`: all servers of
-  /// the service that accept calls. `data_centre`: data centre of this sidecar. `response_bytes`:
-  /// expected size of the response.
+  /// the service that accept calls. `data_centre`: data centre of this sidecar.
   std::optional<Offer> NextOffer(ProxyTime now, const std::string& data_centre,
-                                 size_t response_bytes, const ServerCandidates& candidates,
+                                 const CallEstimate& call, const ServerCandidates& candidates,
                                  std::mt19937_64* rng);
 
   /// Records that `node` rejected the offer because the call would have waited for `wait`.
--- a/include/camphorhoist/server_picker.h
+++ b/include/camphorhoist/server_picker.h
@@ -31,14 +31,23 @@
   double failure_share = 0;
 };
 
+/// What a sender expects of a call before it is offered, from earlier calls of the same profile.
+struct CallEstimate {
+  size_t response_bytes = 0;
+  /// Mean service time over the servers that ran such calls; 0 if there were none.
+  ProxyDuration service_time{};
+};
+
 /// Servers that a call can be offered to. The pointers are valid only during one decision.
 using ServerCandidates = std::vector<const ServerCandidate*>;
 
 /// Ranks the servers of a service by the expected completion time of a call. The estimate includes
-/// the reported queue, the calls offered since the report, the service time and the data centre of
-/// the server. A report is as old as the last response of the server, so the final decision is made
-/// by the sidecar on the server's VM, which rejects an offer whose wait is longer than the sender
-/// accepts.
+/// the reported queue, the calls offered since the report, the service time of such calls on that
+/// server and the data centre of the server. The mean service time of a server determines only how
+/// fast its queue moves: a server that happens to run short calls would otherwise look fast to all
+/// senders and attract the long ones, too. A report is as old as the last response of the server,
+/// so the final decision is made by the sidecar on the server's VM, which rejects an offer whose
+/// wait is longer than the sender accepts.
 ///
 /// Thread safety: none; use from one thread.
 class ServerPicker {
@@ -64,22 +73,29 @@
   static constexpr double kFullLoadSlowdownShare = 0.25;
   /// Surcharge for a server that fails all calls, as a multiple of its service time.
   static constexpr double kFailureCostFactor = 8.0;
+  /// Lower bound on that surcharge: even a short call that fails takes from the retry budget.
+  static constexpr ProxyDuration kMinFailureCost{50000};
 
   struct Choice {
     size_t index = 0;
     ProxyDuration cost{};
+    /// Part of the cost that is the service time of the call.
+    ProxyDuration service_time{};
   };
 
   /// Returns the best two of `candidates`, best first. `data_centre`: data centre of this sidecar.
-  /// `response_bytes`: expected size of the response.
   static std::vector<Choice> Rank(ProxyTime now, const std::string& data_centre,
-                                  size_t response_bytes, const ServerCandidates& candidates,
+                                  const CallEstimate& call, const ServerCandidates& candidates,
                                   std::mt19937_64* rng);
   /// Updates `candidate` with a new load report.
   static void UpdateLoad(ProxyTime now, const ServerLoad& load, ServerCandidate* candidate);
-  /// Returns the expected cost of a call that is offered now: queueing delay and service time, with
-  /// surcharges for occupancy, warm-up and failures.
-  static ProxyDuration ExpectedCompletion(ProxyTime now, const ServerCandidate& candidate);
+  /// Returns the expected cost of a call that is offered now and would run for `service_time`:
+  /// queueing delay and service time, with surcharges for occupancy, warm-up and failures.
+  static ProxyDuration ExpectedCompletion(ProxyTime now, ProxyDuration service_time,
+                                          const ServerCandidate& candidate);
+  /// Returns the expected service time of the call on the server of `candidate`.
+  static ProxyDuration ExpectedServiceTime(const CallEstimate& call,
+                                           const ServerCandidate& candidate);
 };
 
 }  // namespace camphorhoist
--- a/include/camphorhoist/server_queue.h
+++ b/include/camphorhoist/server_queue.h
@@ -24,6 +24,9 @@
   ProxyTime deadline{};
   /// Time until which a response meets the latency objective.
   ProxyTime objective{};
+  /// Latency objective of such a call, from the first attempt of its caller. A call whose expected
+  /// service time exceeds it is late by nature; any other late call has lost its time by waiting.
+  ProxyDuration objective_time{};
   /// Calls of one profile share an estimate of the service time.
   uint64_t profile = 0;
   /// 0 is the most urgent.
@@ -37,6 +40,9 @@
   ProxyDuration delivery_wait{};
   /// Expected time to transmit the response over that link.
   ProxyDuration delivery_time{};
+  /// Mean service time of such calls at all servers of the service, as the sender has observed it;
+  /// 0 if unknown.
+  ProxyDuration typical_service_time{};
 
   ProxyDuration delivery() const { return delivery_wait + delivery_time; }
 };
@@ -58,6 +64,11 @@
   ProxyDuration request_interval{};
   /// Time until the rate permits a call that is offered now, behind all queued calls.
   ProxyDuration permit_wait{};
+  /// Service times of this server relative to those of the same kinds of calls at all servers. The
+  /// mean service time does not compare servers, since it depends on the kinds of calls they run.
+  double relative_service_time = 1;
+  /// Share of recent calls that the server refused or failed, 0 to 1.
+  double failure_share = 0;
 };
 
 /// Admission control and priority queue for the calls to one server, i.e. one upstream. The sidecar
@@ -67,7 +78,9 @@
 ///
 /// Protects against load above capacity: a call is rejected on arrival if it is predicted to miss
 /// its objective or deadline or to wait longer than the sender accepts, and free slots go first to
-/// calls that can still meet their objective.
+/// calls that can still meet their objective. A call that has lost the time for its objective by
+/// waiting gets only a slot that no timely call needs: late calls in the queue would make timely
+/// ones wait, and would sustain the overload that made them late.
 ///
 /// Does no I/O and reads no clock. Thread safety: none; use from one thread.
 class ServerQueue {
@@ -79,21 +92,31 @@
   /// Maximum number of queued calls per slot; bounds memory.
   static constexpr size_t kMaxQueuePerSlot = 64;
   /// A call is started only if at least this share of its expected service time remains before its
-  /// deadline.
-  static constexpr double kMinRemainingServiceShare = 0.5;
+  /// deadline. It is below 1, so that a server whose calls were all aborted at their deadline,
+  /// which raises its expected service time up to the deadline, still gets calls that show its
+  /// recovery.
+  static constexpr double kMinRemainingServiceShare = 0.75;
 
   /// Maximum queueing delay of a nested call, as a share of the time from its offer to its
   /// deadline. The rest lets another server run it in time; if it fails, its parent fails too.
   static constexpr double kMaxNestedWaitShare = 0.3;
 
+  /// Weight of a new sample in the relative service time. The service times of single calls vary
+  /// by a multiple of their mean.
+  static constexpr double kRelativeServiceTimeEwmaWeight = 0.05;
+  /// Bounds on the relative service time, against implausible reports.
+  static constexpr double kMinRelativeServiceTime = 0.1;
+  static constexpr double kMaxRelativeServiceTime = 20;
   /// Bounds on a reported slowdown, against implausible reports.
   static constexpr double kMinSlowdown = 0.2;
   static constexpr double kMaxSlowdown = 20;
 
   explicit ServerQueue(uint32_t slots) : slots_(slots) {}
 
-  /// Factor on predicted times before they are compared with an objective. Predictions are based on
-  /// the mean, which accounts neither for stragglers nor for noisy neighbours on the host.
+  /// Factor on predicted waits before they are compared with an objective. Predictions are based on
+  /// the mean, which accounts neither for stragglers nor for noisy neighbours on the host. The
+  /// service time has no margin: otherwise a service whose mean exceeds the objective divided by
+  /// the margin would queue only calls that are late already.
   static constexpr double kPredictionMargin = 1.5;
   /// A call that will miss its objective stays queued only while the queued calls that can still
   /// meet theirs take at most this share of the time left to start it. It is admitted only while
@@ -147,6 +170,8 @@
   void SetRateLimit(ProxyTime now, std::optional<double> per_second) {
     rate_limit_.Set(now, per_second);
   }
+  /// Returns `value` within the bounds on a relative service time; 1 if it is not a number.
+  static double ClampRelativeServiceTime(double value);
   uint32_t slots() const { return slots_; }
   size_t running() const { return running_.size(); }
   size_t queued() const { return queued_.size(); }
@@ -164,12 +189,16 @@
     uint64_t profile = 0;
     /// Slowdown of the server when the call was started.
     double slowdown = 1;
+    ProxyDuration typical_service_time{};
   };
 
   bool CanStart(ProxyTime now) const;
   void Start(ProxyTime now, const PendingCall& call);
   void RecordServiceTime(const Running& call, double us);
+  double OverdueFactor(ProxyTime now) const;
+  bool HasLostItsObjective(ProxyTime now, const PendingCall& call) const;
   double MeanServiceTime(ProxyTime now) const;
+  double MicrosUntilFreeSlot(ProxyTime now) const;
   ProxyDuration ExpectedWait(ProxyTime now, const PendingCall& call) const;
   ProxyTime LatestStart(const PendingCall& call) const;
   bool LinkIsCongested(ProxyTime now, const PendingCall& call) const;
@@ -184,6 +213,10 @@
   /// Mean service times over all calls and by profile, with the slowdown divided out.
   double mean_us_ = kInitialServiceTime.count();
   std::unordered_map<uint64_t, double> profile_us_;
+  /// Means over calls with a known typical service time: their service time with the slowdown
+  /// divided out, and the typical one.
+  double compared_us_ = kInitialServiceTime.count();
+  double typical_us_ = kInitialServiceTime.count();
   std::map<uint64_t, Running> running_;
   std::vector<PendingCall> queued_;
 };
--- a/src/libproxy/call_placement.cc
+++ b/src/libproxy/call_placement.cc
@@ -21,7 +21,7 @@
 
 std::optional<CallPlacement::Offer> CallPlacement::NextOffer(ProxyTime now,
                                                              const std::string& data_centre,
-                                                             size_t response_bytes,
+                                                             const CallEstimate& call,
                                                              const ServerCandidates& candidates,
                                                              std::mt19937_64* rng) {
   std::vector<size_t> eligible = Eligible(candidates, false);
@@ -35,8 +35,7 @@
   servers.reserve(eligible.size());
   for (const size_t i : eligible) servers.push_back(candidates[i]);
   const std::vector<ServerPicker::Choice> choices =
-      ServerPicker::Rank(now, data_centre, response_bytes, servers, rng);
-  const ServerCandidate& best = *servers[choices[0].index];
+      ServerPicker::Rank(now, data_centre, call, servers, rng);
   ++offers_;
   Offer offer;
   offer.index = eligible[choices[0].index];
@@ -47,7 +46,7 @@
   } else if (is_only_one) {
     offer.max_wait = std::max(kMinAcceptedWait, *shortest_wait_);
   } else {
-    offer.max_wait = std::max(kMinAcceptedWait, choices[1].cost - best.load.service_time);
+    offer.max_wait = std::max(kMinAcceptedWait, choices[1].cost - choices[0].service_time);
   }
   return offer;
 }
--- a/src/libproxy/call_placement_test.cc
+++ b/src/libproxy/call_placement_test.cc
@@ -5,6 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "camphorhoist/call_estimates.h"
+#include "camphorhoist/failure_share.h"
+
 namespace camphorhoist {
 namespace {
 
@@ -39,6 +42,9 @@
   CPPUNIT_TEST(AvoidsServersWithManyFailures);
   CPPUNIT_TEST(DistributesCallsOverEqualServers);
   CPPUNIT_TEST(LargeResponsesAvoidCongestedLinks);
+  CPPUNIT_TEST(ShortCallsDoNotMakeAServerLookFast);
+  CPPUNIT_TEST(FailureShareFollowsOutcomesAndFades);
+  CPPUNIT_TEST(EstimatesOfCallsAreMeansOfTheirProfile);
   CPPUNIT_TEST(RetryAfterDependsOnTheShortestWait);
   CPPUNIT_TEST_SUITE_END();
 
@@ -50,7 +56,7 @@
                                                      Candidate("free", "b", 0)};
     for (int i = 0; i < 50; ++i) {
       CallPlacement placement;
-      const auto offer = placement.NextOffer(kNow, "a", 1500, Pointers(candidates), &rng);
+      const auto offer = placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng);
       CPPUNIT_ASSERT_EQUAL(size_t{1}, offer->index);
       CPPUNIT_ASSERT(offer->max_wait < CallPlacement::kUnlimitedWait);
     }
@@ -66,14 +72,15 @@
                                                Candidate("far", "b", 0, 40)};
     constexpr size_t kLargeResponseBytes = 100000;
     for (int i = 0; i < 50; ++i) {
-      CPPUNIT_ASSERT_EQUAL(
-          size_t{0},
-          CallPlacement().NextOffer(kNow, "a", kLargeResponseBytes, Pointers(slower), &rng)->index);
+      CPPUNIT_ASSERT_EQUAL(size_t{0},
+                           CallPlacement()
+                               .NextOffer(kNow, "a", {kLargeResponseBytes}, Pointers(slower), &rng)
+                               ->index);
       CPPUNIT_ASSERT_EQUAL(
           size_t{1},
-          CallPlacement().NextOffer(kNow, "a", kLargeResponseBytes, Pointers(full), &rng)->index);
+          CallPlacement().NextOffer(kNow, "a", {kLargeResponseBytes}, Pointers(full), &rng)->index);
       CPPUNIT_ASSERT_EQUAL(
-          size_t{1}, CallPlacement().NextOffer(kNow, "a", 1000, Pointers(slower), &rng)->index);
+          size_t{1}, CallPlacement().NextOffer(kNow, "a", {1000}, Pointers(slower), &rng)->index);
     }
   }
 
@@ -86,17 +93,17 @@
     CallPlacement placement;
     std::set<size_t> offered;
     for (int i = 0; i < 3; ++i) {
-      const auto offer = placement.NextOffer(kNow, "a", 1500, Pointers(candidates), &rng);
+      const auto offer = placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng);
       CPPUNIT_ASSERT(offer.has_value());
       offered.insert(offer->index);
       placement.OnBusy(candidates[offer->index].node, milliseconds(100 + 50 * i));
     }
     CPPUNIT_ASSERT_EQUAL(size_t{3}, offered.size());
-    const auto last = placement.NextOffer(kNow, "a", 1500, Pointers(candidates), &rng);
+    const auto last = placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng);
     CPPUNIT_ASSERT(last.has_value());
     CPPUNIT_ASSERT(last->max_wait == CallPlacement::kUnlimitedWait);
     placement.OnBusy(candidates[last->index].node, milliseconds(300));
-    CPPUNIT_ASSERT(!placement.NextOffer(kNow, "a", 1500, Pointers(candidates), &rng).has_value());
+    CPPUNIT_ASSERT(!placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng).has_value());
     CPPUNIT_ASSERT(placement.overloaded());
   }
 
@@ -106,10 +113,10 @@
     const std::vector<ServerCandidate> candidates = {Candidate("x", "a", 0),
                                                      Candidate("y", "a", 0)};
     CallPlacement placement;
-    const auto first = placement.NextOffer(kNow, "a", 1500, Pointers(candidates), &rng);
+    const auto first = placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng);
     placement.OnFailed(candidates[first->index].node);
     CPPUNIT_ASSERT(placement.HasAlternative(Pointers(candidates)));
-    const auto second = placement.NextOffer(kNow, "a", 1500, Pointers(candidates), &rng);
+    const auto second = placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng);
     CPPUNIT_ASSERT(second->index != first->index);
     placement.OnFailed(candidates[second->index].node);
     CPPUNIT_ASSERT(!placement.HasAlternative(Pointers(candidates)));
@@ -117,7 +124,7 @@
     CPPUNIT_ASSERT(placement.RetryAfter(std::chrono::seconds(1)) == CallPlacement::kMinRetryAfter);
     CPPUNIT_ASSERT(CallPlacement().RetryAfter(std::chrono::seconds(1)) ==
                    CallPlacement::kNoServerRetryAfter);
-    CPPUNIT_ASSERT(!placement.NextOffer(kNow, "a", 1500, Pointers(candidates), &rng).has_value());
+    CPPUNIT_ASSERT(!placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng).has_value());
     CPPUNIT_ASSERT(!placement.overloaded());
   }
 
@@ -129,7 +136,7 @@
     candidates[0].failure_share = 0.45;
     int chosen = 0;
     for (int i = 0; i < 100; ++i) {
-      chosen += CallPlacement().NextOffer(kNow, "a", 1500, Pointers(candidates), &rng)->index == 1
+      chosen += CallPlacement().NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng)->index == 1
                     ? 1
                     : 0;
     }
@@ -144,7 +151,7 @@
                                                      Candidate("3", "a", 2)};
     std::vector<int> count(4, 0);
     for (int i = 0; i < 400; ++i) {
-      ++count[CallPlacement().NextOffer(kNow, "a", 1500, Pointers(candidates), &rng)->index];
+      ++count[CallPlacement().NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng)->index];
     }
     for (const int n : count) CPPUNIT_ASSERT(n > 50 && n < 150);
   }
@@ -160,14 +167,66 @@
     int small_to_free = 0;
     for (int i = 0; i < 50; ++i) {
       large_to_free += static_cast<int>(
-          CallPlacement().NextOffer(kNow, "a", 90000, Pointers(candidates), &rng)->index);
+          CallPlacement().NextOffer(kNow, "a", {90000}, Pointers(candidates), &rng)->index);
       small_to_free += static_cast<int>(
-          CallPlacement().NextOffer(kNow, "a", 900, Pointers(candidates), &rng)->index);
+          CallPlacement().NextOffer(kNow, "a", {900}, Pointers(candidates), &rng)->index);
     }
     CPPUNIT_ASSERT_EQUAL(50, large_to_free);
     CPPUNIT_ASSERT(small_to_free < 50);
   }
 
+  // Guards against calls of all kinds that crowd on a server whose mean service time is low because
+  // it runs short calls.
+  void ShortCallsDoNotMakeAServerLookFast() {
+    std::mt19937_64 rng(1);
+    std::vector<ServerCandidate> candidates = {Candidate("short calls", "a", 40, 60),
+                                               Candidate("long calls", "a", 3, 600)};
+    for (const int service_ms : {50, 800}) {
+      CallEstimate call;
+      call.service_time = milliseconds(service_ms);
+      for (int i = 0; i < 50; ++i) {
+        CPPUNIT_ASSERT_EQUAL(
+            size_t{1},
+            CallPlacement().NextOffer(kNow, "a", call, Pointers(candidates), &rng)->index);
+      }
+    }
+    // A server that is slow for the same kind of calls is avoided.
+    candidates[1].load.relative_service_time = 10;
+    CallEstimate call;
+    call.service_time = milliseconds(50);
+    CPPUNIT_ASSERT_EQUAL(
+        size_t{0}, CallPlacement().NextOffer(kNow, "a", call, Pointers(candidates), &rng)->index);
+  }
+
+  // Guards against an average that is dominated by its first sample, and fades when it should not.
+  void FailureShareFollowsOutcomesAndFades() {
+    FailureShare share(0.1);
+    ProxyTime now = kNow;
+    for (int i = 0; i < 50; ++i) share.Record(now, i % 2 == 0);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, share.Get(now), 0.1);
+    CPPUNIT_ASSERT(share.Get(now + FailureShare::kDecayTime) < 0.25);
+    for (int i = 0; i < 50; ++i) share.Record(now, false);
+    CPPUNIT_ASSERT(share.Get(now) < 0.01);
+  }
+
+  // Guards against an estimate that one unusual call determines, and against profiles that
+  // accumulate.
+  void EstimatesOfCallsAreMeansOfTheirProfile() {
+    CallEstimates estimates;
+    CPPUNIT_ASSERT(estimates.Get(1).service_time == milliseconds(0));
+    estimates.Record(1, 9000, milliseconds(1000));
+    for (int i = 0; i < 9; ++i) estimates.Record(1, 1000, milliseconds(100));
+    CPPUNIT_ASSERT(estimates.Get(1).service_time == milliseconds(190));
+    CPPUNIT_ASSERT_EQUAL(size_t{1800}, estimates.Get(1).response_bytes);
+    estimates.Record(2, 10, milliseconds(0));
+    CPPUNIT_ASSERT(estimates.Get(2).service_time == milliseconds(0));
+    CPPUNIT_ASSERT(estimates.Get(1).service_time == milliseconds(190));
+    for (uint64_t profile = 0; profile < 2 * CallEstimates::kMaxProfiles; ++profile) {
+      estimates.Record(profile + 10, 10, milliseconds(1));
+    }
+    CPPUNIT_ASSERT(estimates.Get(1).service_time == milliseconds(0));
+  }
+
   // Guards against callers that retry while the queues are unchanged, or after their deadline.
   void RetryAfterDependsOnTheShortestWait() {
     CallPlacement placement;
--- a/src/libproxy/load_replay_test.cc
+++ b/src/libproxy/load_replay_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,31 @@
   return {};
 }
 
+// Differences of this size between replays are noise; see DEVELOPERS.md.
+constexpr double kReplayNoise = 0.02;
+
+double Mean(const std::vector<double>& values, size_t from, size_t to) {
+  double sum = 0;
+  for (size_t i = from; i < to; ++i) sum += values[i];
+  return sum / static_cast<double>(to - from);
+}
+
+/// Returns the share of the credit that the calls of each second earn, as the mean over three
+/// seeds.
+std::vector<double> MeanShares(const std::string& name) {
+  constexpr int kSeeds = 3;
+  constexpr size_t kSeconds = 20;
+  static std::map<std::string, std::vector<double>> replayed;
+  std::vector<double>& shares = replayed[name];
+  if (!shares.empty()) return shares;
+  shares.resize(kSeconds, 0);
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    const ReplayResult result = Replay(name, static_cast<uint64_t>(seed));
+    for (size_t i = 0; i < kSeconds; ++i) shares[i] += result.seconds.at(i).share() / kSeeds;
+  }
+  return shares;
+}
+
 class LoadReplayTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LoadReplayTest);
   CPPUNIT_TEST(MeetsObjectivesBelowCapacity);
@@ -26,6 +52,8 @@
   CPPUNIT_TEST(RefusesCallsEarly);
   CPPUNIT_TEST(AvoidsASlowServer);
   CPPUNIT_TEST(ServesUrgentClassAtLeastAsWell);
+  CPPUNIT_TEST(NestedCallsDoNotCauseCollapseAtOrdinaryLoad);
+  CPPUNIT_TEST(RecoversFromASurgeWithNestedCalls);
   CPPUNIT_TEST(IsDeterministicForASeed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -93,6 +121,22 @@
     }
   }
 
+  // Guards against a mesh that tips over without any fault: short nested calls crowd on servers
+  // whose mean service time they lower, their parents keep slots for longer, and queues fill with
+  // calls that are late already while timely ones are refused. The target is 0.9 of the credit.
+  void NestedCallsDoNotCauseCollapseAtOrdinaryLoad() {
+    const std::vector<double> share = MeanShares("nested calls, ordinary load");
+    CPPUNIT_ASSERT(Mean(share, 0, share.size()) > 0.9 - kReplayNoise);
+  }
+
+  // Guards against a collapse that outlasts the surge which started it. Three seconds after the end
+  // of the surge at second 11, calls have to earn what they earn in these seconds without a surge.
+  void RecoversFromASurgeWithNestedCalls() {
+    const std::vector<double> surge = MeanShares("nested calls, surge");
+    const std::vector<double> ordinary = MeanShares("nested calls, ordinary load");
+    CPPUNIT_ASSERT(Mean(surge, 14, 20) > Mean(ordinary, 14, 20) - kReplayNoise);
+  }
+
   // Guards against random differences between runs that hide the effect of a code change.
   void IsDeterministicForASeed() {
     const ReplayResult a = Replay("surge on waves", 4);
--- a/src/libproxy/server_picker.cc
+++ b/src/libproxy/server_picker.cc
@@ -18,13 +18,21 @@
   candidate->offers_since_report = 0;
 }
 
-ProxyDuration ServerPicker::ExpectedCompletion(ProxyTime now, const ServerCandidate& candidate) {
+ProxyDuration ServerPicker::ExpectedServiceTime(const CallEstimate& call,
+                                                const ServerCandidate& candidate) {
+  if (call.service_time.count() == 0) return candidate.load.service_time;
+  return FromMicros(candidate.load.relative_service_time *
+                    static_cast<double>(call.service_time.count()));
+}
+
+ProxyDuration ServerPicker::ExpectedCompletion(ProxyTime now, ProxyDuration service_time,
+                                               const ServerCandidate& candidate) {
   const ServerLoad& load = candidate.load;
-  const double service_us = static_cast<double>(load.service_time.count());
+  const double service_us = static_cast<double>(service_time.count());
   const double age_us = static_cast<double>(
       std::chrono::duration_cast<ProxyDuration>(now - candidate.load_time).count());
   const double limit = std::max<uint32_t>(load.limit, 1);
-  const double calls_per_us = limit / std::max(service_us, 1.0);
+  const double calls_per_us = limit / std::max(static_cast<double>(load.service_time.count()), 1.0);
   const double report_weight =
       std::max(0.0, 1.0 - age_us / static_cast<double>(kReportDecayTime.count()));
   const double reported =
@@ -40,27 +48,29 @@
   }
   cost_us += kFullLoadSlowdownShare * service_us * std::min(1.0, occupied / limit);
   if (FromMicros(age_us) < candidate.warm_up) cost_us += (kWarmUpSlowdown - 1) * service_us;
-  cost_us += kFailureCostFactor * candidate.failure_share * service_us;
+  cost_us += candidate.failure_share * std::max(kFailureCostFactor * service_us,
+                                                static_cast<double>(kMinFailureCost.count()));
   return FromMicros(cost_us);
 }
 
 std::vector<ServerPicker::Choice> ServerPicker::Rank(ProxyTime now, const std::string& data_centre,
-                                                     size_t response_bytes,
+                                                     const CallEstimate& call,
                                                      const ServerCandidates& candidates,
                                                      std::mt19937_64* rng) {
   const ProxyDuration cross_data_centre_cost =
       kCrossDataCentreCost +
-      FromMicros(kCrossDataCentreMicrosPerByte * static_cast<double>(response_bytes));
+      FromMicros(kCrossDataCentreMicrosPerByte * static_cast<double>(call.response_bytes));
   std::vector<Choice> choices;
   choices.reserve(candidates.size());
   std::uniform_real_distribution<double> jitter(0, kJitterShare);
   for (size_t i = 0; i < candidates.size(); ++i) {
     const ServerCandidate& it = *candidates[i];
-    ProxyDuration cost = ExpectedCompletion(now, it);
-    cost += FromMicros(jitter(*rng) * static_cast<double>(it.load.service_time.count()));
+    const ProxyDuration service_time = ExpectedServiceTime(call, it);
+    ProxyDuration cost = ExpectedCompletion(now, service_time, it);
+    cost += FromMicros(jitter(*rng) * static_cast<double>(service_time.count()));
     if (it.data_centre != data_centre) cost += cross_data_centre_cost;
-    if (response_bytes >= kLargeResponseBytes) cost += it.load.delivery_wait;
-    choices.push_back({i, cost});
+    if (call.response_bytes >= kLargeResponseBytes) cost += it.load.delivery_wait;
+    choices.push_back({i, cost, service_time});
   }
   const size_t count = std::min<size_t>(2, choices.size());
   std::partial_sort(choices.begin(), choices.begin() + static_cast<ptrdiff_t>(count), choices.end(),
--- a/src/libproxy/server_queue.cc
+++ b/src/libproxy/server_queue.cc
@@ -1,6 +1,7 @@
 #include "camphorhoist/server_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace camphorhoist {
@@ -42,15 +43,18 @@
 ProxyDuration ServerQueue::ExpectedWait(ProxyTime now, const PendingCall& call) const {
   if (CanStart(now) && queued_.empty()) return ProxyDuration(0);
   if (slots_ == 0) return std::chrono::hours(1);
-  // On average, one of n slots becomes free per 1/n of the mean service time.
-  double work_us = MeanServiceTime(now) * (static_cast<double>(running_.size()) + 1 - slots_);
+  double wait_us = 0;
+  if (running_.size() >= slots_) {
+    wait_us = MicrosUntilFreeSlot(now) * (static_cast<double>(running_.size()) + 1 - slots_);
+  }
+  const double overdue = OverdueFactor(now);
   size_t ahead = 0;
   for (const PendingCall& it : queued_) {
     if (HasPrecedence(now, call, it)) continue;
     ++ahead;
-    work_us += static_cast<double>(ExpectedServiceTime(it.profile).count());
+    wait_us += overdue * static_cast<double>(ExpectedServiceTime(it.profile).count()) / slots_;
   }
-  return std::max(FromMicros(std::max(work_us, 0.0) / slots_), rate_limit_.Wait(now, ahead));
+  return std::max(FromMicros(wait_us), rate_limit_.Wait(now, ahead));
 }
 
 // A call that would miss its objective even on an idle link delays the responses behind it. It is
@@ -76,14 +80,15 @@
     return {Verdict::kStart, ProxyDuration(0)};
   }
   const ProxyDuration wait = ExpectedWait(now, call);
+  if (HasLostItsObjective(now, call)) return {Verdict::kWouldMissDeadline, wait};
   if (queued_.size() >= kMaxQueuePerSlot * std::max<size_t>(slots_, 1)) {
     return {Verdict::kBusy, wait};
   }
   if (wait > max_wait) return {Verdict::kBusy, wait};
-  const double expected_us =
-      static_cast<double>((wait + ExpectedServiceTime(call.profile)).count());
-  const ProxyTime expected_done =
-      now + FromMicros(kPredictionMargin * expected_us) + call.delivery();
+  const double service_us =
+      OverdueFactor(now) * static_cast<double>(ExpectedServiceTime(call.profile).count());
+  const double expected_us = kPredictionMargin * static_cast<double>(wait.count()) + service_us;
+  const ProxyTime expected_done = now + FromMicros(expected_us) + call.delivery();
   if (now + wait > LatestStart(call) ||
       (!WillMissObjective(now, call) && expected_done > call.objective)) {
     return {Verdict::kWouldMissDeadline, wait};
@@ -98,18 +103,24 @@
 
 void ServerQueue::Start(ProxyTime now, const PendingCall& call) {
   rate_limit_.Take(now);
-  running_[call.key] = Running{now, call.profile, slowdown_};
+  running_[call.key] = Running{now, call.profile, slowdown_, call.typical_service_time};
 }
 
 bool ServerQueue::WillMissObjective(ProxyTime now, const PendingCall& call) const {
   return now + ExpectedServiceTime(call.profile) + call.delivery() > call.objective;
 }
 
+bool ServerQueue::HasLostItsObjective(ProxyTime now, const PendingCall& call) const {
+  return !call.nested && WillMissObjective(now, call) &&
+         ExpectedServiceTime(call.profile) + call.delivery_time <= call.objective_time;
+}
+
 // If enough queued work can still meet its objective, a call that cannot would not be started
 // before its deadline. Dropping it at once lets its caller react sooner.
 bool ServerQueue::ShouldDropLate(ProxyTime now, const PendingCall& call, double timely_work_us,
                                  size_t timely_calls) const {
   if (!WillMissObjective(now, call)) return false;
+  if (HasLostItsObjective(now, call)) return timely_calls > 0;
   const double wait_us = std::max(timely_work_us / std::max<uint32_t>(slots_, 1),
                                   static_cast<double>(rate_limit_.Wait(now, timely_calls).count()));
   const double left_us = static_cast<double>(
@@ -157,6 +168,16 @@
   if (profile_us_.size() >= kMaxProfiles) profile_us_.clear();
   const auto [it, is_new] = profile_us_.try_emplace(call.profile, normal_us);
   if (!is_new) it->second += kServiceTimeEwmaWeight * (normal_us - it->second);
+  if (call.typical_service_time.count() > 0) {
+    const auto typical_us = static_cast<double>(call.typical_service_time.count());
+    compared_us_ += kRelativeServiceTimeEwmaWeight * (normal_us - compared_us_);
+    typical_us_ += kRelativeServiceTimeEwmaWeight * (typical_us - typical_us_);
+  }
+}
+
+double ServerQueue::ClampRelativeServiceTime(double value) {
+  if (std::isnan(value)) return 1;
+  return std::clamp(value, kMinRelativeServiceTime, kMaxRelativeServiceTime);
 }
 
 void ServerQueue::OnFinish(uint64_t key, ProxyDuration service_time) {
@@ -176,19 +197,35 @@
   running_.erase(it);
 }
 
-// If half of the running calls have already run for longer than the recorded mean, the server has
-// become slow. Their median age shows this before any of them finishes.
-double ServerQueue::MeanServiceTime(ProxyTime now) const {
-  if (running_.empty()) return slowdown_ * mean_us_;
+// If half of the running calls have already run for longer than calls of their profile usually do,
+// the server has become slow. Their median age shows this before any of them finishes.
+double ServerQueue::OverdueFactor(ProxyTime now) const {
+  if (running_.empty()) return 1;
   std::vector<double> ages;
   ages.reserve(running_.size());
-  for (const auto& it : running_) {
-    const auto age = std::chrono::duration_cast<ProxyDuration>(now - it.second.started_at);
-    ages.push_back(static_cast<double>(age.count()));
+  for (const auto& [key, call] : running_) {
+    const auto age = std::chrono::duration_cast<ProxyDuration>(now - call.started_at);
+    const auto expected_us = static_cast<double>(ExpectedServiceTime(call.profile).count());
+    ages.push_back(static_cast<double>(age.count()) / std::max(expected_us, 1.0));
   }
   const auto median = ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
   std::nth_element(ages.begin(), median, ages.end());
-  return std::max(slowdown_ * mean_us_, *median);
+  return std::max(1.0, *median);
+}
+
+double ServerQueue::MeanServiceTime(ProxyTime now) const {
+  return slowdown_ * mean_us_ * OverdueFactor(now);
+}
+
+// Short and long calls run side by side, and the short ones free their slots more often than their
+// share of the slots suggests. The rates at which the slots become free add up.
+double ServerQueue::MicrosUntilFreeSlot(ProxyTime now) const {
+  double per_us = 0;
+  for (const auto& [key, call] : running_) {
+    const auto expected_us = static_cast<double>(ExpectedServiceTime(call.profile).count());
+    per_us += 1 / std::max(expected_us, 1.0);
+  }
+  return OverdueFactor(now) / per_us;
 }
 
 bool ServerQueue::RemoveQueued(uint64_t key) {
@@ -219,6 +256,8 @@
   load.expected_wait = ExpectedWait(now, lowest_priority);
   load.request_interval = rate_limit_.interval();
   load.permit_wait = rate_limit_.Wait(now, queued_.size());
+  load.relative_service_time =
+      ClampRelativeServiceTime(slowdown_ * OverdueFactor(now) * compared_us_ / typical_us_);
   return load;
 }
 
--- a/src/libproxy/server_queue_test.cc
+++ b/src/libproxy/server_queue_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <chrono>
+#include <cmath>
 #include <vector>
 
 namespace camphorhoist {
@@ -37,6 +38,10 @@
   CPPUNIT_TEST(PredictionsScaleWithTheReportedSlowdown);
   CPPUNIT_TEST(LimitsTheWaitOfNestedCalls);
   CPPUNIT_TEST(RejectsCallsWhenTheLinkIsCongested);
+  CPPUNIT_TEST(QueuesTimelyCallsWhenServiceTimesApproachTheObjective);
+  CPPUNIT_TEST(CallsThatLostTheirObjectiveDoNotQueue);
+  CPPUNIT_TEST(ComparesServiceTimesOfTheSameKindOfCalls);
+  CPPUNIT_TEST(ShortCallsFreeSlotsSooner);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -244,6 +249,87 @@
     CPPUNIT_ASSERT(!dequeued[0].start);
   }
 
+  // Guards against a queue that admits only calls that are late already, since the service time
+  // with a margin exceeds the objective. Such a service never serves a timely call again.
+  void QueuesTimelyCallsWhenServiceTimesApproachTheObjective() {
+    ServerQueue queue(12);
+    uint64_t key = RunCalls(&queue, 1, 60, milliseconds(400));
+    for (int i = 0; i < 12; ++i) {
+      queue.Offer(kStart, Call(key++, 500, 1500), std::chrono::seconds(10));
+    }
+    const auto admission = queue.Offer(kStart, Call(key, 500, 1500), std::chrono::seconds(10));
+    CPPUNIT_ASSERT(admission.verdict == ServerQueue::Verdict::kQueued);
+  }
+
+  // Guards against calls that were refused elsewhere until they are late, and then make timely
+  // calls wait. A call that is late by nature has to be served even so.
+  void CallsThatLostTheirObjectiveDoNotQueue() {
+    ServerQueue queue(1);
+    uint64_t key = RunCalls(&queue, 1, 60, milliseconds(100));
+    PendingCall lost = Call(key++, 50, 1500);
+    lost.objective_time = milliseconds(500);
+    CPPUNIT_ASSERT(queue.Offer(kStart, lost, std::chrono::seconds(10)).verdict ==
+                   ServerQueue::Verdict::kStart);
+    lost.key = key++;
+    CPPUNIT_ASSERT(queue.Offer(kStart, lost, std::chrono::seconds(10)).verdict ==
+                   ServerQueue::Verdict::kWouldMissDeadline);
+    PendingCall slow_by_nature = Call(key++, 50, 1500);
+    slow_by_nature.objective_time = milliseconds(50);
+    CPPUNIT_ASSERT(queue.Offer(kStart, slow_by_nature, std::chrono::seconds(10)).verdict ==
+                   ServerQueue::Verdict::kQueued);
+    // A call that loses its objective in the queue leaves it as soon as a timely one waits.
+    PendingCall waiting = Call(key++, 400, 1500);
+    waiting.objective_time = milliseconds(400);
+    CPPUNIT_ASSERT(queue.Offer(kStart, waiting, std::chrono::seconds(10)).verdict ==
+                   ServerQueue::Verdict::kQueued);
+    const ProxyTime later = kStart + milliseconds(310);
+    queue.Offer(later, Call(key++, 2000, 3000), std::chrono::seconds(10));
+    const auto dequeued = queue.DispatchQueued(later);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, dequeued.size());
+    CPPUNIT_ASSERT_EQUAL(waiting.key, dequeued[0].key);
+    CPPUNIT_ASSERT(!dequeued[0].start);
+  }
+
+  // Guards against comparing servers by the mean over all their calls: it is low for a server that
+  // happens to run short calls, whatever its speed.
+  void ComparesServiceTimesOfTheSameKindOfCalls() {
+    ServerQueue slow_with_short_calls(1);
+    ServerQueue fast_with_long_calls(1);
+    for (uint64_t key = 1; key <= 200; ++key) {
+      PendingCall call = Call(key, 900000, 2000000);
+      call.typical_service_time = milliseconds(50);
+      slow_with_short_calls.Offer(kStart, call, std::chrono::seconds(10));
+      slow_with_short_calls.OnFinish(key, milliseconds(100));
+      call.typical_service_time = milliseconds(800);
+      fast_with_long_calls.Offer(kStart, call, std::chrono::seconds(10));
+      fast_with_long_calls.OnFinish(key, milliseconds(400));
+    }
+    const ServerLoad slow = slow_with_short_calls.load(kStart);
+    const ServerLoad fast = fast_with_long_calls.load(kStart);
+    CPPUNIT_ASSERT(slow.service_time < fast.service_time);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, slow.relative_service_time, 0.05);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, fast.relative_service_time, 0.05);
+    CPPUNIT_ASSERT_EQUAL(1.0, ServerQueue::ClampRelativeServiceTime(NAN));
+    CPPUNIT_ASSERT(ServerQueue::ClampRelativeServiceTime(1e9) < 100);
+  }
+
+  // Guards against a predicted wait by the mean over all calls, when the slots are held by calls
+  // that end much later, or much sooner.
+  void ShortCallsFreeSlotsSooner() {
+    ServerQueue queue(2);
+    uint64_t key = RunCalls(&queue, 1, 60, milliseconds(800));
+    key = RunCalls(&queue, key, 60, milliseconds(40), 2);
+    queue.Offer(kStart, Call(key++, 900000, 2000000), std::chrono::seconds(10));
+    queue.Offer(kStart, Call(key++, 900000, 2000000), std::chrono::seconds(10));
+    const ProxyDuration behind_long_calls = queue.load(kStart).expected_wait;
+    CPPUNIT_ASSERT(behind_long_calls > milliseconds(300));
+    queue.OnFinish(key - 1, milliseconds(800));
+    PendingCall short_call = Call(key++, 900000, 2000000);
+    short_call.profile = 2;
+    queue.Offer(kStart, short_call, std::chrono::seconds(10));
+    CPPUNIT_ASSERT(queue.load(kStart).expected_wait < milliseconds(60));
+  }
+
   // Guards against predictions that do not adapt to the service times of the server.
   void EstimatesServiceTimes() {
     ServerQueue queue(1);
@@ -257,6 +343,19 @@
     const auto admission = queue.Offer(kStart, Call(101, 300, 2000), std::chrono::seconds(10));
     CPPUNIT_ASSERT(admission.verdict == ServerQueue::Verdict::kWouldMissDeadline);
   }
+
+ private:
+  /// Runs `count` calls one after the other, with keys from `key` on; returns the next key.
+  static uint64_t RunCalls(ServerQueue* queue, uint64_t key, int count, milliseconds service_time,
+                           uint64_t profile = 1) {
+    for (int i = 0; i < count; ++i, ++key) {
+      PendingCall call = Call(key, 900000, 2000000);
+      call.profile = profile;
+      queue->Offer(kStart, call, std::chrono::seconds(10));
+      queue->OnFinish(key, service_time);
+    }
+    return key;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerQueueTest);
--- a/src/libproxy/testing/load_replay.cc
+++ b/src/libproxy/testing/load_replay.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <utility>
 
+#include "camphorhoist/call_estimates.h"
 #include "camphorhoist/call_placement.h"
 
 namespace camphorhoist {
@@ -63,6 +64,20 @@
   int retries_left = 1;
   bool is_abusive = false;
   CallPlacement placement;
+  /// For a nested call: continues its parent. The argument tells whether there is a response.
+  std::function<void(bool)> on_nested_end;
+
+  bool nested() const { return on_nested_end != nullptr; }
+};
+
+/// A call that occupies a slot of a server.
+struct RunningCall {
+  std::shared_ptr<Attempt> attempt;
+  size_t server = 0;
+  uint64_t key = 0;
+  double started = 0;
+  int nested_calls_left = 0;
+  bool ended = false;
 };
 
 class Replay {
@@ -72,6 +87,7 @@
     for (const ReplayServer& it : scenario.servers) queues_.emplace_back(it.slots);
     const size_t senders = scenario.data_centres.size() * scenario.senders_per_data_centre;
     candidates_by_sender_.resize(senders);
+    estimates_by_sender_.resize(senders);
     for (auto& servers : candidates_by_sender_) {
       for (size_t i = 0; i < scenario.servers.size(); ++i) {
         ServerCandidate candidate;
@@ -131,19 +147,24 @@
     });
   }
 
+  ReplaySecond& SecondOf(double at_ms) {
+    const auto second = static_cast<size_t>(at_ms / 1000);
+    if (result_.seconds.size() <= second) result_.seconds.resize(second + 1);
+    return result_.seconds[second];
+  }
+
   double Uniform() { return std::uniform_real_distribution<double>(0, 1)(rng_); }
 
   void OnArrival(size_t data_centre, size_t cls) {
     const ReplayClass& call_class = scenario_.classes[cls];
     ++result_.classes[cls].calls;
+    ++SecondOf(loop_.now()).calls;
     auto attempt = std::make_shared<Attempt>();
     attempt->cls = cls;
     attempt->sender =
         data_centre * scenario_.senders_per_data_centre +
         std::uniform_int_distribution<size_t>(0, scenario_.senders_per_data_centre - 1)(rng_);
-    const double mu = std::log(call_class.work_ms) - call_class.sigma * call_class.sigma / 2;
-    attempt->work_ms = std::lognormal_distribution<double>(mu, call_class.sigma)(rng_);
-    if (Uniform() < call_class.straggler_share) attempt->work_ms *= call_class.straggler_factor;
+    attempt->work_ms = SampleWork(call_class);
     attempt->first_arrived_at = loop_.now();
     attempt->arrived_at = loop_.now();
     attempt->deadline = loop_.now() + call_class.deadline_ms;
@@ -153,6 +174,12 @@
     SendOffer(attempt);
   }
 
+  double SampleWork(const ReplayClass& call_class) {
+    const double mu = std::log(call_class.work_ms) - call_class.sigma * call_class.sigma / 2;
+    const double work_ms = std::lognormal_distribution<double>(mu, call_class.sigma)(rng_);
+    return Uniform() < call_class.straggler_share ? work_ms * call_class.straggler_factor : work_ms;
+  }
+
   const std::string& DataCentreOf(size_t sender) const {
     return scenario_.data_centres[sender / scenario_.senders_per_data_centre];
   }
@@ -166,13 +193,19 @@
   void SendOffer(const std::shared_ptr<Attempt>& attempt) {
     auto& servers = candidates_by_sender_[attempt->sender];
     ServerCandidates candidates;
-    for (const ServerCandidate& it : servers) candidates.push_back(&it);
-    const auto offer = attempt->placement.NextOffer(At(loop_.now()), DataCentreOf(attempt->sender),
-                                                    kResponseBytes, candidates, &rng_);
+    std::vector<size_t> indices;
+    for (size_t i = 0; i < servers.size(); ++i) {
+      if (scenario_.servers[i].service != scenario_.classes[attempt->cls].service) continue;
+      candidates.push_back(&servers[i]);
+      indices.push_back(i);
+    }
+    const auto offer = attempt->placement.NextOffer(
+        At(loop_.now()), DataCentreOf(attempt->sender),
+        estimates_by_sender_[attempt->sender].Get(attempt->cls), candidates, &rng_);
     if (!offer) return OnRefused(attempt);
     ++offers_;
-    ++servers[offer->index].offers_since_report;
-    const size_t server = offer->index;
+    const size_t server = indices[offer->index];
+    ++servers[server].offers_since_report;
     const ProxyDuration max_wait = offer->max_wait;
     loop_.Schedule(loop_.now() + NetworkDelayMs(attempt->sender, server),
                    [this, attempt, server, max_wait] { OnOffer(attempt, server, max_wait); });
@@ -183,7 +216,13 @@
     PendingCall call;
     call.key = next_key_++;
     call.deadline = At(attempt->deadline);
-    call.objective = At(attempt->first_arrived_at + call_class.objective_ms);
+    call.objective =
+        attempt->nested() ? call.deadline : At(attempt->first_arrived_at + call_class.objective_ms);
+    call.objective_time = ProxyDuration(static_cast<int64_t>(call_class.objective_ms * 1000));
+    call.nested = attempt->nested();
+    call.offered_at = At(loop_.now());
+    call.typical_service_time =
+        estimates_by_sender_[attempt->sender].Get(attempt->cls).service_time;
     call.profile = attempt->cls;
     call.priority = call_class.priority;
     const auto admission = queues_[server].Offer(At(loop_.now()), call, max_wait);
@@ -214,37 +253,92 @@
   }
 
   void RunCall(const std::shared_ptr<Attempt>& attempt, size_t server, uint64_t key) {
-    const double started = loop_.now();
-    const double service_ms = attempt->work_ms * scenario_.servers[server].slowdown(started / 1000);
+    auto run = std::make_shared<RunningCall>();
+    run->attempt = attempt;
+    run->server = server;
+    run->key = key;
+    run->started = loop_.now();
+    const auto& nested = scenario_.classes[attempt->cls].nested_calls;
+    if (nested && Uniform() < nested->share) run->nested_calls_left = nested->times;
     // A server aborts a call at its deadline.
-    const bool completes = started + service_ms <= attempt->deadline;
-    const double run_ms = completes ? service_ms : attempt->deadline - started;
-    loop_.Schedule(started + run_ms, [this, attempt, server, key, run_ms, completes] {
-      // A response reports the current slowdown of the server's VM.
-      queues_[server].SetSlowdown(scenario_.servers[server].slowdown(loop_.now() / 1000));
-      if (completes) {
-        queues_[server].OnFinish(key, ProxyDuration(static_cast<int64_t>(run_ms * 1000)));
-      } else {
-        queues_[server].OnAbort(At(loop_.now()), key);
-      }
-      if (completes) busy_ms_ += run_ms;
-      const ServerLoad load = queues_[server].load(At(loop_.now()));
-      loop_.Schedule(loop_.now() + NetworkDelayMs(attempt->sender, server),
-                     [this, attempt, server, load, completes] {
-                       UpdateLoad(attempt->sender, server, load);
-                       if (completes) OnResponse(*attempt);
-                     });
-      DispatchQueued(server);
-    });
+    loop_.Schedule(attempt->deadline, [this, run] { EndRun(run, false); });
+    ContinueRun(run);
+  }
+
+  void ContinueRun(const std::shared_ptr<RunningCall>& run) {
+    if (run->ended) return;
+    if (run->nested_calls_left-- > 0) return SendNestedCall(run);
+    const double slowdown = scenario_.servers[run->server].slowdown(run->started / 1000);
+    loop_.Schedule(loop_.now() + run->attempt->work_ms * slowdown,
+                   [this, run] { EndRun(run, true); });
+  }
+
+  void SendNestedCall(const std::shared_ptr<RunningCall>& run) {
+    const Attempt& parent = *run->attempt;
+    const size_t cls = scenario_.classes[parent.cls].nested_calls->cls;
+    const ReplayClass& call_class = scenario_.classes[cls];
+    auto attempt = std::make_shared<Attempt>();
+    attempt->cls = cls;
+    attempt->sender = SenderBeside(run->server);
+    attempt->work_ms = SampleWork(call_class);
+    attempt->first_arrived_at = attempt->arrived_at = loop_.now();
+    attempt->deadline = std::min(parent.deadline, loop_.now() + call_class.deadline_ms);
+    attempt->retries_left = 0;
+    attempt->on_nested_end = [this, run](bool responded) {
+      if (responded) return ContinueRun(run);
+      EndRun(run, false);
+    };
+    ++attempts_;
+    SendOffer(attempt);
+  }
+
+  /// The sidecar on the VM of the server, which sends its nested calls.
+  size_t SenderBeside(size_t server) const {
+    const auto& names = scenario_.data_centres;
+    const auto it = std::find(names.begin(), names.end(), scenario_.servers[server].data_centre);
+    return static_cast<size_t>(it - names.begin()) * scenario_.senders_per_data_centre +
+           server % scenario_.senders_per_data_centre;
+  }
+
+  void EndRun(const std::shared_ptr<RunningCall>& run, bool completes) {
+    if (std::exchange(run->ended, true)) return;
+    const size_t server = run->server;
+    const std::shared_ptr<Attempt>& attempt = run->attempt;
+    const double run_ms = loop_.now() - run->started;
+    const ProxyDuration service_time(static_cast<int64_t>(run_ms * 1000));
+    // A response reports the current slowdown of the server's VM.
+    queues_[server].SetSlowdown(scenario_.servers[server].slowdown(loop_.now() / 1000));
+    if (completes) {
+      queues_[server].OnFinish(run->key, service_time);
+      busy_ms_ += run_ms;
+    } else {
+      queues_[server].OnAbort(At(loop_.now()), run->key);
+    }
+    const ServerLoad load = queues_[server].load(At(loop_.now()));
+    loop_.Schedule(loop_.now() + NetworkDelayMs(attempt->sender, server),
+                   [this, attempt, server, load, completes, service_time] {
+                     UpdateLoad(attempt->sender, server, load);
+                     if (completes) {
+                       estimates_by_sender_[attempt->sender].Record(attempt->cls, kResponseBytes,
+                                                                    service_time);
+                     }
+                     if (attempt->nested()) return attempt->on_nested_end(completes);
+                     if (completes) return OnResponse(*attempt);
+                     ++result_.classes[attempt->cls].failed;
+                   });
+    DispatchQueued(server);
   }
 
   void OnResponse(const Attempt& attempt) {
     const ReplayClass& call_class = scenario_.classes[attempt.cls];
     ReplayClassResult& result = result_.classes[attempt.cls];
+    ReplaySecond& second = SecondOf(attempt.first_arrived_at);
     if (loop_.now() <= attempt.first_arrived_at + call_class.objective_ms) {
       ++result.timely;
+      second.credit += 1;
     } else {
       ++result.late;
+      second.credit += call_class.late_credit;
     }
   }
 
@@ -268,6 +362,7 @@
   }
 
   void OnRefused(const std::shared_ptr<Attempt>& attempt) {
+    if (attempt->nested()) return attempt->on_nested_end(false);
     ReplayClassResult& result = result_.classes[attempt->cls];
     ++result.refusals;
     result.refusal_latency_ms += loop_.now() - attempt->arrived_at;
@@ -312,6 +407,7 @@
   /// State of the servers as known to each sender.
   std::vector<std::vector<ServerCandidate>> candidates_by_sender_;
   std::map<uint64_t, std::shared_ptr<Attempt>> queued_attempts_;
+  std::vector<CallEstimates> estimates_by_sender_;
   uint64_t next_key_ = 1;
   uint64_t offers_ = 0;
   uint64_t attempts_ = 0;
--- a/src/libproxy/testing/load_replay.h
+++ b/src/libproxy/testing/load_replay.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,10 +15,20 @@
 struct ReplayServer {
   std::string data_centre;
   uint32_t slots = 6;
+  size_t service = 0;
   /// Factor on the execution time of work at `t` seconds from the start.
   std::function<double(double t)> slowdown = [](double) { return 1.0; };
 };
 
+/// Calls that a server makes for a call that it runs, one after the other.
+struct ReplayNestedCalls {
+  /// Index of their class.
+  size_t cls = 0;
+  int times = 0;
+  /// Share of the calls that make them.
+  double share = 0;
+};
+
 /// A class of calls with the same objective, deadline and distribution of work.
 struct ReplayClass {
   /// Arrival rate over all data centres at a demand factor of 1.
@@ -32,6 +43,9 @@
   double objective_ms = 0;
   double deadline_ms = 0;
   int priority = 1;
+  /// Service whose servers run the calls.
+  size_t service = 0;
+  std::optional<ReplayNestedCalls> nested_calls;
   /// Credit for a response after the objective; one within the objective earns 1.
   double late_credit = 0.5;
   /// Credit deducted if a call is finally refused after a retry.
@@ -67,6 +81,8 @@
   uint64_t timely = 0;
   uint64_t late = 0;
   uint64_t refused = 0;
+  /// Calls that failed because a nested call of theirs did, or that were aborted at their deadline.
+  uint64_t failed = 0;
   /// Sum of the times from the arrival of an attempt to its refusal.
   double refusal_latency_ms = 0;
   /// Refused attempts.
@@ -75,8 +91,17 @@
   double refusal_penalty = 0;
 };
 
+/// The calls that arrived in one second, and the credit that they earned, at any time.
+struct ReplaySecond {
+  uint64_t calls = 0;
+  double credit = 0;
+
+  double share() const { return calls == 0 ? 1 : credit / static_cast<double>(calls); }
+};
+
 struct ReplayResult {
   std::vector<ReplayClassResult> classes;
+  std::vector<ReplaySecond> seconds;
   /// Slot time spent on complete responses, as a share of the slot time available.
   double utilisation = 0;
   /// Offers per call attempt.
@@ -89,8 +114,8 @@
   double net = 0;
 };
 
-/// Discrete-event simulation of `ServerQueue` and `CallPlacement` under a load pattern, with load
-/// reports that are delayed by the network. Deterministic for a given seed.
+/// Discrete-event simulation of `ServerQueue`, `CallEstimates` and `CallPlacement` under a load
+/// pattern, with load reports that are delayed by the network. Deterministic for a given seed.
 ReplayResult RunReplay(const ReplayScenario& scenario);
 
 /// Slowdown of a server on a host with noisy neighbours. Time is divided into periods of `period_s`
--- a/src/libproxy/testing/load_scenarios.cc
+++ b/src/libproxy/testing/load_scenarios.cc
@@ -1,6 +1,7 @@
 #include "libproxy/testing/load_scenarios.h"
 
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace camphorhoist {
@@ -61,6 +62,57 @@
   };
 }
 
+ReplayScenario NestedCallsBetweenServices(double demand) {
+  constexpr size_t kServers[] = {28, 19, 41};
+  const std::vector<double> speeds[] = {
+      {0.55, 1.2, 1.2, 1.2}, {0.5, 1.0, 1.0, 1.5}, {0.7, 0.7, 1.6}};
+  ReplayScenario scenario;
+  scenario.seconds = 20;
+  scenario.senders_per_data_centre = 29;
+  for (size_t service = 0; service < std::size(kServers); ++service) {
+    for (size_t i = 0; i < kServers[service]; ++i) {
+      ReplayServer server;
+      server.service = service;
+      server.slots = 12;
+      server.data_centre = scenario.data_centres[i % scenario.data_centres.size()];
+      const double slowdown = 1 / speeds[service][i % speeds[service].size()];
+      server.slowdown = [slowdown](double) { return slowdown; };
+      scenario.servers.push_back(server);
+    }
+  }
+  const auto add = [&scenario, demand](size_t service, double per_second, double work_ms,
+                                       double sigma, double objective_ms, double deadline_ms) {
+    ReplayClass cls;
+    cls.service = service;
+    cls.calls_per_second = demand * per_second;
+    cls.work_ms = work_ms;
+    cls.sigma = sigma;
+    cls.straggler_share = 0.01;
+    cls.straggler_factor = 5;
+    cls.objective_ms = objective_ms;
+    cls.deadline_ms = deadline_ms;
+    cls.late_credit = 0.1;
+    scenario.classes.push_back(cls);
+  };
+  add(0, 925, 200, 0.8, 500, 1500);
+  add(1, 357, 260, 0.3, 800, 1200);
+  add(2, 390, 500, 0.8, 1500, 2500);
+  add(2, 156, 800, 0.3, 4000, 3000);
+  add(1, 0, 50, 0.5, 200, 600);
+  add(2, 0, 50, 0.5, 200, 600);
+  for (size_t i = 0; i < scenario.classes.size(); ++i) {
+    scenario.classes[i].priority = static_cast<int>(i);
+  }
+  for (size_t i = 4; i < scenario.classes.size(); ++i) scenario.classes[i].straggler_share = 0;
+  scenario.classes[0].nested_calls = ReplayNestedCalls{4, 2, 0.7};
+  scenario.classes[1].nested_calls = ReplayNestedCalls{5, 2, 0.7};
+  scenario.demand_factor = [](size_t data_centre, double t) {
+    constexpr double kPhases[] = {0.41, 0.88, 0.54};
+    return 1 + 0.15 * std::sin(2 * kPi * (t / 11 + kPhases[data_centre]));
+  };
+  return scenario;
+}
+
 std::vector<NamedScenario> AllScenarios() {
   std::vector<NamedScenario> all;
   ReplayScenario below_capacity = ServersOfUnevenSpeed();
@@ -112,6 +164,11 @@
   fleet.classes = {LookupClass(1500), OrderClass(190)};
   AddPeriodicDemand(0.55, 15, &fleet);
   all.push_back({"fleet, waves above capacity", fleet});
+
+  all.push_back({"nested calls, ordinary load", NestedCallsBetweenServices(1)});
+  ReplayScenario nested_surge = NestedCallsBetweenServices(1);
+  AddSurge(1.8, 6, 11, &nested_surge);
+  all.push_back({"nested calls, surge", nested_surge});
   return all;
 }
 
--- a/src/libproxy/testing/load_scenarios.h
+++ b/src/libproxy/testing/load_scenarios.h
@@ -19,6 +19,10 @@
 void AddPeriodicDemand(double amplitude, double period_s, ReplayScenario* scenario);
 /// Multiplies the demand by `factor` from `from` to `to` seconds.
 void AddSurge(double factor, double from, double to, ReplayScenario* scenario);
+/// Three services near their capacity. The calls of the first one make short nested calls to the
+/// second one, whose own calls are long and make short nested calls to the third one, whose own
+/// calls are longer still. `demand`: factor on the load.
+ReplayScenario NestedCallsBetweenServices(double demand);
 
 /// All scenarios of the tests and the benchmark.
 std::vector<NamedScenario> AllScenarios();
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -67,10 +67,7 @@
 // sends the time it has left, while its latency objective counts from its first attempt.
 ProxyDuration Dispatcher::PreviousAttemptTime(uint64_t profile, ProxyDuration timeout) {
   constexpr size_t kMaxProfiles = 1024;
-  if (longest_timeout_.size() > kMaxProfiles) {
-    longest_timeout_.clear();
-    response_bytes_.clear();
-  }
+  if (longest_timeout_.size() > kMaxProfiles) longest_timeout_.clear();
   ProxyDuration& longest = longest_timeout_[profile];
   longest = std::max(longest, timeout);
   return longest - timeout;
@@ -133,39 +130,33 @@
     const UpstreamStatus& status = peer->status;
     if (!status.ready || status.service != service || !peer->usable()) continue;
     peer->candidate.warm_up = status.warm_up;
-    peer->candidate.failure_share = FailureShare(*peer, now);
+    // The sidecar beside the server sees the calls of all senders, this one sees failures on the
+    // way.
+    const double age = std::chrono::duration<double>(now - peer->candidate.load_time).count();
+    const double decay_time = std::chrono::duration<double>(FailureShare::kDecayTime).count();
+    peer->candidate.failure_share =
+        std::max(peer->failure_share.Get(now),
+                 peer->candidate.load.failure_share * std::exp(-age / decay_time));
     candidates.push_back(&peer->candidate);
   }
   return candidates;
 }
 
-double Dispatcher::FailureShare(const Peer& peer, ProxyTime now) const {
-  const double age = std::chrono::duration<double>(now - peer.failure_share_time).count();
-  const double decay_time = std::chrono::duration<double>(kFailureDecayTime).count();
-  return peer.failure_share * std::exp(-age / decay_time);
-}
-
-void Dispatcher::RecordOutcome(Peer* peer, bool failed) {
-  const auto now = steady_clock::now();
-  const double share = FailureShare(*peer, now);
-  peer->failure_share = share + kFailureShareEwmaWeight * ((failed ? 1.0 : 0.0) - share);
-  peer->failure_share_time = now;
-}
-
 // Called when the caller has disconnected, or the call has expired, before the pending offer had a
 // result.
 void Dispatcher::RecordAbandonedOffer(const Call& call) {
   Peer* peer = directory_->Find(call.node);
   if (peer == nullptr || handles_by_offer_.count(call.offer_id) == 0) return;
   const auto waited = steady_clock::now() - call.offered_at;
-  if (waited > kSlowOfferFactor * peer->candidate.load.service_time) RecordOutcome(peer, true);
+  if (waited > kSlowOfferFactor * peer->candidate.load.service_time)
+    peer->failure_share.Record(steady_clock::now(), true);
 }
 
 void Dispatcher::OfferToNextServer(Call* call) {
   const ServerCandidates candidates = Candidates(call->service);
-  const auto expected = static_cast<size_t>(response_bytes_[call->profile]);
-  const std::optional<CallPlacement::Offer> offer = call->placement.NextOffer(
-      steady_clock::now(), settings_->data_centre, expected, candidates, &rng_);
+  const std::optional<CallPlacement::Offer> offer =
+      call->placement.NextOffer(steady_clock::now(), settings_->data_centre,
+                                estimates_.Get(call->profile), candidates, &rng_);
   if (!offer) return Refuse(call, call->placement.overloaded() ? "overload" : "no_server");
   Offer(call, directory_->Find(candidates[offer->index]->node), offer->max_wait);
 }
@@ -208,6 +199,8 @@
   offer.idempotent = call->route.idempotent();
   offer.max_wait = max_wait;
   offer.bulk = call->route.kind == RequestKind::kBulk;
+  offer.typical_service_time = estimates_.Get(call->profile).service_time;
+  offer.objective_time = call->route.objective;
   if (!peer->local()) return LinkOf(*call, peer)->Send(std::move(offer));
   local_->Offer(std::move(offer), 0,
                 [this](CallResult result) { local_results_.Post(std::move(result)); });
@@ -224,13 +217,13 @@
     case ResultKind::kNotRun:
       return OnNotRun(call, peer, result);
     case ResultKind::kUnknown:
-      RecordOutcome(peer, true);
+      peer->failure_share.Record(steady_clock::now(), true);
       return OnUnknown(call, peer->node, result.reason);
     case ResultKind::kResponse:
       break;
   }
   const bool failed = result.status >= kInternalError;
-  RecordOutcome(peer, failed);
+  peer->failure_share.Record(steady_clock::now(), failed);
   if (failed) call->placement.OnFailed(peer->node);
   if (failed && call->route.idempotent() && MayRetry(call)) {
     LogEvent(LogLevel::kInfo, "call", "repeated")
@@ -254,11 +247,7 @@
         .Add("servers_reached", call->servers_reached)
         .Add("held_ms", Milliseconds(duration_cast<ProxyDuration>(now - call->arrived_at)));
   }
-  if (!failed) {
-    double& expected = response_bytes_[call->profile];
-    const auto size = static_cast<double>(result.body.size());
-    expected = expected == 0 ? size : expected + kResponseSizeEwmaWeight * (size - expected);
-  }
+  if (!failed) estimates_.Record(call->profile, result.body.size(), result.service_time);
   Finish(call, {result.status, std::move(result.headers), std::move(result.body)});
 }
 
@@ -275,7 +264,7 @@
     if (result.reason != ResultReason::kStopping) peer->status.ready = false;
     return OfferToNextServer(call);
   }
-  RecordOutcome(peer, true);
+  peer->failure_share.Record(steady_clock::now(), true);
   if (!MayRetry(call)) return Refuse(call, ToString(result.reason));
   OfferToNextServer(call);
 }
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "camphorhoist/call_estimates.h"
 #include "camphorhoist/call_placement.h"
 #include "camphorhoist/fleet_retry_budget.h"
 #include "camphorhoist/mesh_config.h"
@@ -54,17 +55,10 @@
   static constexpr std::chrono::milliseconds kResultSlack{200};
   /// A call with less time left is not retried, since the retry would not complete in time.
   static constexpr std::chrono::milliseconds kMinRetryTime{20};
-  /// Time constant of the exponential decay of a server's failure share: after this time the
-  /// influence of a failure has fallen to about a third (1/e).
-  static constexpr std::chrono::milliseconds kFailureDecayTime{3000};
-  /// Weight of a new outcome in the failure share of a server.
-  static constexpr double kFailureShareEwmaWeight = 0.15;
   /// An offer that the caller abandons, or that expires, after more than this many service times of
   /// the server counts as failed. A server that holds calls until their callers disconnect returns
   /// no results that would count against it.
   static constexpr int kSlowOfferFactor = 3;
-  /// Weight of a new sample in the moving average of response sizes.
-  static constexpr double kResponseSizeEwmaWeight = 0.05;
   /// Timeout assumed for a call while this sidecar has no configuration.
   static constexpr std::chrono::milliseconds kTimeoutWithoutConfig{1000};
 
@@ -141,9 +135,7 @@
   void Finish(Call* call, CallerResponse response);
   void ReleaseOffer(Call* call);
   PeerLink* LinkOf(const Call& call, Peer* peer) const;
-  void RecordOutcome(Peer* peer, bool failed);
   void RecordAbandonedOffer(const Call& call);
-  double FailureShare(const Peer& peer, ProxyTime now) const;
 
   event_base* base_;
   const SidecarSettings* settings_;
@@ -161,8 +153,7 @@
   /// Longest timeout that callers have sent for calls of a profile; taken to be the timeout of a
   /// first attempt.
   std::unordered_map<uint64_t, ProxyDuration> longest_timeout_;
-  /// Moving average of the response size of each profile.
-  std::unordered_map<uint64_t, double> response_bytes_;
+  CallEstimates estimates_;
   Mailbox<CallResult> local_results_;
 };
 
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -8,14 +8,20 @@
 
 namespace camphorhoist {
 
+namespace {
+
+constexpr int kInternalError = 500;
+
+}  // namespace
+
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
 LocalUpstream::LocalUpstream(event_base* base, const SidecarSettings& settings,
-                             std::function<void()> on_ready_changed)
+                             std::function<void()> on_status_changed)
     : base_(base),
-      on_ready_changed_(std::move(on_ready_changed)),
+      on_status_changed_(std::move(on_status_changed)),
       registry_(settings.announce_interval),
       queue_(kInitialSlots),
       pool_(base, settings.upstream),
@@ -54,6 +60,7 @@
 void LocalUpstream::OnNewInstance() {
   upstream_answered_ = false;
   rate_limit_.reset();
+  failure_share_ = FailureShare(kFailureShareEwmaWeight);
   queue_.SetRateLimit(steady_clock::now(), std::nullopt);
   RestoreRateLimit();
 }
@@ -94,7 +101,7 @@
   LogEvent(LogLevel::kInfo, "upstream", ready ? "takes_calls" : "takes_no_calls")
       .Add("instance", registry_.current() ? registry_.current()->instance : "")
       .Add("stopping", stopping_);
-  on_ready_changed_();
+  on_status_changed_();
 }
 
 void LocalUpstream::SetEgress(double bytes_per_second, std::function<size_t()> backlog) {
@@ -116,6 +123,7 @@
 ServerLoad LocalUpstream::load() const {
   ServerLoad load = queue_.load(steady_clock::now());
   load.delivery_wait = DeliveryWait();
+  load.failure_share = failure_share_.Get(steady_clock::now());
   return load;
 }
 
@@ -175,6 +183,8 @@
   call.priority = offer.priority;
   call.nested = offer.nested;
   call.offered_at = now;
+  call.typical_service_time = offer.typical_service_time;
+  call.objective_time = offer.objective_time;
   const ProxyDuration max_wait = offer.max_wait;
   tracked.offer = std::move(offer);
   if (stopping_ || tracked.deadline > latest_deadline_) return Refuse(id, ResultReason::kStopping);
@@ -237,8 +247,10 @@
   const auto now = steady_clock::now();
   if (outcome.answered()) ApplyRateLimit(outcome.decoded.requests_per_second);
   if (outcome.decoded.load) queue_.SetSlowdown(outcome.decoded.load->slowdown);
+  RecordFailure(outcome.kind != ResultKind::kResponse || outcome.status >= kInternalError);
   if (outcome.kind == ResultKind::kResponse) {
-    queue_.OnFinish(tracked.queue_key, duration_cast<ProxyDuration>(now - tracked.started_at));
+    result.service_time = duration_cast<ProxyDuration>(now - tracked.started_at);
+    queue_.OnFinish(tracked.queue_key, result.service_time);
   } else {
     queue_.OnAbort(now, tracked.queue_key);
   }
@@ -260,9 +272,26 @@
   TrackedCall& tracked = tracked_calls_.at(id);
   if (tracked.state != State::kRunning) return;
   LogNoResponse(tracked, ResultReason::kTimeout, true);
+  RecordFailure(true);
   Abort(id, &tracked, ResultReason::kTimeout);
 }
 
+// Senders would learn one by one that the upstream fails calls, each from its own ones. The sidecar
+// beside it sees all outcomes and reports them to all senders.
+void LocalUpstream::RecordFailure(bool failed) {
+  const auto now = steady_clock::now();
+  failure_share_.Record(now, failed);
+  const double share = failure_share_.Get(now);
+  const bool failing =
+      share >= (reported_failing_ ? kMaxSoundFailureShare / 2 : kMaxSoundFailureShare);
+  if (failing == reported_failing_) return;
+  reported_failing_ = failing;
+  LogEvent(LogLevel::kInfo, "upstream", failing ? "failing" : "sound")
+      .Add("instance", registry_.current() ? registry_.current()->instance : "")
+      .Add("failure_share", share);
+  on_status_changed_();
+}
+
 void LocalUpstream::LogNoResponse(const TrackedCall& tracked, ResultReason reason,
                                   bool sent) const {
   LogEvent(LogLevel::kInfo, "upstream", "no_response")
--- a/src/libsidecar/local_upstream.h
+++ b/src/libsidecar/local_upstream.h
@@ -11,6 +11,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "camphorhoist/failure_share.h"
 #include "camphorhoist/server_queue.h"
 #include "camphorhoist/sidecar_settings.h"
 #include "camphorhoist/upstream_registry.h"
@@ -41,14 +42,20 @@
   static constexpr std::chrono::milliseconds kResponseSlack{150};
   /// Weight of a new sample in the moving average of the size of large responses.
   static constexpr double kBulkSizeEwmaWeight = 0.05;
+  /// Weight of a new outcome in the failure share.
+  static constexpr double kFailureShareEwmaWeight = 0.15;
+  /// Failure share from which all senders are told at once that the upstream fails calls. Half of
+  /// it ends that.
+  static constexpr double kMaxSoundFailureShare = 0.2;
   /// Number of slots assumed until the upstream reports its own.
   static constexpr uint32_t kInitialSlots = 1;
   /// Number of instances whose remembered rate limits are kept.
   static constexpr size_t kMaxRememberedInstances = 16;
 
-  /// `on_ready_changed` is called when the upstream starts or stops accepting calls.
+  /// `on_status_changed` is called when the upstream starts or stops accepting calls, or starts or
+  /// stops failing many of them.
   LocalUpstream(event_base* base, const SidecarSettings& settings,
-                std::function<void()> on_ready_changed);
+                std::function<void()> on_status_changed);
 
   /// Sets the rate at which large responses are sent; `backlog` returns how many of their bytes are
   /// queued for the link. From then on, the admission of calls also considers the time to deliver
@@ -117,6 +124,7 @@
   void Run(const CallId& id, TrackedCall* tracked);
   void OnOutcome(const CallId& id, UpstreamOutcome outcome);
   void OnDeadline(const CallId& id);
+  void RecordFailure(bool failed);
   /// Takes the id by value: a reference might point into a map entry that this function erases.
   void Finish(CallId id, TrackedCall* tracked, CallResult result);
   void Refuse(CallId id, ResultReason reason);
@@ -133,7 +141,7 @@
   ProxyDuration TransferTime(double bytes) const;
 
   event_base* base_;
-  std::function<void()> on_ready_changed_;
+  std::function<void()> on_status_changed_;
   UpstreamRegistry registry_;
   ServerQueue queue_;
   UpstreamPool pool_;
@@ -143,6 +151,9 @@
   std::optional<double> rate_limit_;
   /// Times between two requests that other sidecars remember, by instance.
   std::map<std::string, ProxyDuration> remembered_intervals_;
+  FailureShare failure_share_{kFailureShareEwmaWeight};
+  /// The senders were told that the upstream fails many calls.
+  bool reported_failing_ = false;
   Timer expiry_timer_;
   Timer queue_timer_;
   double egress_bytes_per_second_ = 0;
--- a/src/libsidecar/peer.capnp
+++ b/src/libsidecar/peer.capnp
@@ -25,6 +25,10 @@
   requestIntervalMicros @6 :UInt32;
   # Time until that rate permits a call that is offered now.
   permitMicros @7 :UInt32;
+  # Service times here relative to the means that the senders of the calls have observed.
+  relativeServiceTime @8 :Float32 = 1;
+  # Share of recent calls that the upstream refused or failed.
+  failureShare @9 :Float32;
 }
 
 # Status of the upstream of a sidecar.
@@ -85,6 +89,10 @@
   maxWaitMicros @14 :UInt32;
   # A large response is expected.
   bulk @15 :Bool;
+  # Mean service time of such calls at all servers of the service; 0 if unknown.
+  typicalServiceMicros @16 :UInt32;
+  # Latency objective of such a call, from the first attempt of its caller.
+  objectiveTimeMicros @17 :UInt32;
 }
 
 # The body follows the message of the frame, or arrives in separate parts.
@@ -99,6 +107,8 @@
   configVersion @7 :UInt64;
   # Size of the body that follows in parts; 0 if the body follows this message.
   partedBytes @8 :UInt32;
+  # Time for which the call occupied a slot of the upstream; 0 without a complete response.
+  serviceMicros @9 :UInt32;
 }
 
 # Next part of the body of a result. The bytes follow the message of the frame.
--- a/src/libsidecar/peer.capnp.h
+++ b/src/libsidecar/peer.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cbe093b83c6a55dc, 4, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(cbe093b83c6a55dc, 5, 0)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a55eb2e64aa6c1cb, 4, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(a55eb2e64aa6c1cb, 5, 8)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -396,6 +396,10 @@
 
   inline ::uint32_t getPermitMicros() const;
 
+  inline float getRelativeServiceTime() const;
+
+  inline float getFailureShare() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -448,6 +452,12 @@
   inline ::uint32_t getPermitMicros();
   inline void setPermitMicros(::uint32_t value);
 
+  inline float getRelativeServiceTime();
+  inline void setRelativeServiceTime(float value);
+
+  inline float getFailureShare();
+  inline void setFailureShare(float value);
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -862,6 +872,10 @@
 
   inline bool getBulk() const;
 
+  inline ::uint32_t getTypicalServiceMicros() const;
+
+  inline ::uint32_t getObjectiveTimeMicros() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -974,6 +988,12 @@
   inline bool getBulk();
   inline void setBulk(bool value);
 
+  inline ::uint32_t getTypicalServiceMicros();
+  inline void setTypicalServiceMicros(::uint32_t value);
+
+  inline ::uint32_t getObjectiveTimeMicros();
+  inline void setObjectiveTimeMicros(::uint32_t value);
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1039,6 +1059,8 @@
 
   inline ::uint32_t getPartedBytes() const;
 
+  inline ::uint32_t getServiceMicros() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1110,6 +1132,9 @@
   inline ::uint32_t getPartedBytes();
   inline void setPartedBytes(::uint32_t value);
 
+  inline ::uint32_t getServiceMicros();
+  inline void setServiceMicros(::uint32_t value);
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1575,6 +1600,28 @@
   _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline float Load::Reader::getRelativeServiceTime() const {
+  return _reader.getDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 1065353216u);
+}
+
+inline float Load::Builder::getRelativeServiceTime() {
+  return _builder.getDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 1065353216u);
+}
+inline void Load::Builder::setRelativeServiceTime(float value) {
+  _builder.setDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value, 1065353216u);
+}
+
+inline float Load::Reader::getFailureShare() const {
+  return _reader.getDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline float Load::Builder::getFailureShare() {
+  return _builder.getDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setFailureShare(float value) {
+  _builder.setDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Upstream::Reader::hasService() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -2278,6 +2325,28 @@
   _builder.setDataField<bool>(::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint32_t Offer::Reader::getTypicalServiceMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Offer::Builder::getTypicalServiceMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setTypicalServiceMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t Offer::Reader::getObjectiveTimeMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Offer::Builder::getObjectiveTimeMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setObjectiveTimeMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Result::Reader::hasId() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -2457,6 +2526,17 @@
   _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::uint32_t Result::Reader::getServiceMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Result::Builder::getServiceMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Result::Builder::setServiceMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ResultPart::Reader::hasId() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
--- a/src/libsidecar/peer_directory.h
+++ b/src/libsidecar/peer_directory.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "camphorhoist/failure_share.h"
 #include "camphorhoist/net_address.h"
 #include "camphorhoist/server_picker.h"
 #include "libsidecar/peer_link.h"
@@ -16,6 +17,9 @@
 
 /// Another sidecar as seen by this one, or this sidecar itself (which has no links).
 struct Peer {
+  /// Weight of a new outcome in the failure share.
+  static constexpr double kFailureShareEwmaWeight = 0.15;
+
   std::string node;
   NetAddress address;
   /// Identifies the process run that sent the last hello; 0 before the first one.
@@ -23,9 +27,8 @@
   UpstreamStatus status;
   /// Last reported load, and data centre, in the form used to choose a server.
   ServerCandidate candidate;
-  /// Recent share of failed calls, as of `failure_share_time`.
-  double failure_share = 0;
-  ProxyTime failure_share_time{};
+  /// Share of this sidecar's recent calls that the peer's upstream failed.
+  FailureShare failure_share{kFailureShareEwmaWeight};
   /// Has an entry in the store.
   bool listed = false;
   /// Has reported that the store does not respond to it.
--- a/src/libsidecar/peer_messages.cc
+++ b/src/libsidecar/peer_messages.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstring>
 #include <utility>
 
@@ -64,6 +65,8 @@
   out.setDeliveryMicros(ClampMicros(load.delivery_wait));
   out.setRequestIntervalMicros(ClampMicros(load.request_interval));
   out.setPermitMicros(ClampMicros(load.permit_wait));
+  out.setRelativeServiceTime(static_cast<float>(load.relative_service_time));
+  out.setFailureShare(static_cast<float>(load.failure_share));
 }
 ServerLoad Read(peer::Load::Reader in) {
   ServerLoad load;
@@ -75,6 +78,9 @@
   load.delivery_wait = ProxyDuration(in.getDeliveryMicros());
   load.request_interval = ProxyDuration(in.getRequestIntervalMicros());
   load.permit_wait = ProxyDuration(in.getPermitMicros());
+  load.relative_service_time = ServerQueue::ClampRelativeServiceTime(in.getRelativeServiceTime());
+  const double failure_share = in.getFailureShare();
+  load.failure_share = std::isnan(failure_share) ? 0 : std::clamp(failure_share, 0.0, 1.0);
   return load;
 }
 
@@ -139,6 +145,8 @@
   out.setIdempotent(offer.idempotent);
   out.setMaxWaitMicros(ClampMicros(offer.max_wait));
   out.setBulk(offer.bulk);
+  out.setTypicalServiceMicros(ClampMicros(offer.typical_service_time));
+  out.setObjectiveTimeMicros(ClampMicros(offer.objective_time));
 }
 CallOffer Read(peer::Offer::Reader in) {
   CallOffer offer;
@@ -158,6 +166,8 @@
   offer.idempotent = in.getIdempotent();
   offer.max_wait = ProxyDuration(in.getMaxWaitMicros());
   offer.bulk = in.getBulk();
+  offer.typical_service_time = ProxyDuration(in.getTypicalServiceMicros());
+  offer.objective_time = ProxyDuration(in.getObjectiveTimeMicros());
   return offer;
 }
 
@@ -172,6 +182,7 @@
   Write(result.load, out.initLoad());
   out.setConfigVersion(result.config_version);
   out.setPartedBytes(static_cast<uint32_t>(result.body_bytes_in_parts));
+  out.setServiceMicros(ClampMicros(result.service_time));
 }
 CallResult Read(peer::Result::Reader in) {
   CallResult result;
@@ -189,6 +200,7 @@
   result.load = Read(in.getLoad());
   result.config_version = in.getConfigVersion();
   result.body_bytes_in_parts = in.getPartedBytes();
+  result.service_time = ProxyDuration(in.getServiceMicros());
   return result;
 }
 
--- a/src/libsidecar/peer_messages.h
+++ b/src/libsidecar/peer_messages.h
@@ -80,6 +80,10 @@
   ProxyDuration max_wait{};
   /// A large response is expected.
   bool bulk = false;
+  /// Mean service time of such calls at all servers of the service; 0 if unknown.
+  ProxyDuration typical_service_time{};
+  /// Latency objective of such a call, from the first attempt of its caller.
+  ProxyDuration objective_time{};
 };
 
 enum class ResultKind : uint8_t {
@@ -124,6 +128,8 @@
   uint64_t config_version = 0;
   /// Size of a body that follows in parts, in which case `body` is empty; 0 otherwise.
   size_t body_bytes_in_parts = 0;
+  /// Time for which the call occupied a slot of the upstream; 0 without a complete response.
+  ProxyDuration service_time{};
 };
 
 /// Next part of the body of a result.
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -40,7 +40,7 @@
       settings_(settings),
       incarnation_(incarnation),
       pacer_(base, settings_.link_bytes_per_second),
-      local_(base, settings_, [this] { OnUpstreamReadyChanged(); }),
+      local_(base, settings_, [this] { OnUpstreamStatusChanged(); }),
       directory_(
           base,
           {[this] { return NewHello(); },
@@ -127,7 +127,7 @@
   return hello;
 }
 
-void Sidecar::OnUpstreamReadyChanged() {
+void Sidecar::OnUpstreamStatusChanged() {
   const UpstreamStatus status = local_.status();
   directory_.self()->status = status;
   directory_.UpdateLoad(directory_.self(), status.load);
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -62,7 +62,7 @@
   uint64_t config_version() const;
   /// Writes the departures of the upstream to the store.
   void PersistDepartures();
-  void OnUpstreamReadyChanged();
+  void OnUpstreamStatusChanged();
   /// Elects the sidecars of this data centre that watch the store, and starts or stops watching
   /// accordingly.
   void ElectStoreWatchers();
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -2,7 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,7 @@
   CPPUNIT_TEST(AppliesOnlyNewerValidConfiguration);
   CPPUNIT_TEST(StopCompletesRunningCalls);
   CPPUNIT_TEST(StoppingSidecarStillServesItsUpstream);
+  CPPUNIT_TEST(AllSendersAvoidAServerThatFailsCalls);
   CPPUNIT_TEST(MetricsCountRefusals);
   CPPUNIT_TEST(NestedCallIsIdentifiedByParentRequestId);
   CPPUNIT_TEST(AvoidsServerThatCausesCallerTimeouts);
@@ -764,6 +767,32 @@
     CPPUNIT_ASSERT_EQUAL(503, StatusOf(mesh.Call(0, "POST", "/unsafe/x", "id-last")));
   }
 
+  // Guards against senders that each learn from their own failed calls that a server fails. A
+  // sender that has never called it must know from the sidecar beside the server.
+  void AllSendersAvoidAServerThatFailsCalls() {
+    constexpr size_t kFailing = 2;
+    constexpr size_t kSound = 1;
+    // Nodes with even numbers are in one data centre, whose server fails.
+    SidecarMesh mesh(5);
+    mesh.SendHeartbeat(kFailing);
+    mesh.WaitUntilServing(0);
+    mesh.WaitUntilServing(4);
+    int number = 0;
+    mesh.at(kFailing).upstream->set_responder(
+        [&number](RawServer::Connection* connection, const std::string& head) {
+          ++number;
+          connection->Write("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
+                            FakeUpstream::RequestId(head) + "\r\nContent-Length: 0\r\n\r\n");
+        });
+    for (int i = 0; i < 10; ++i) mesh.Call(0, "POST", "/unsafe/x", "a" + std::to_string(i));
+    mesh.SendHeartbeat(kSound);
+    mesh.PumpFor(milliseconds(100));
+    const int before = number;
+    for (int i = 0; i < 20; ++i) mesh.Call(4, "POST", "/unsafe/x", "b" + std::to_string(i));
+    CPPUNIT_ASSERT(before >= 10);
+    CPPUNIT_ASSERT_EQUAL(before, number);
+  }
+
   // Guards against metrics that do not match the responses that callers receive.
   void MetricsCountRefusals() {
     SidecarMesh mesh(1);
