Dispatcher: late calls of a stopping sidecar are refused

It can happen here: the sidecar beside a server refuses calls that outlast its own stop, but the one beside the caller passed on calls to other VMs until 1.5 s before its end, whatever their deadline.

Once callers have had the time to see that the sidecar is not ready, a call whose deadline is after its end is refused at once with 503 and Retry-After. Earlier calls are accepted as before.

--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -116,6 +116,10 @@
   // After a late response the parent call can still continue; a refusal wastes the work already
   // done for it.
   if (call->nested) call->objective = call->deadline;
+  if (call->deadline > latest_deadline_) {
+    Refuse(call, ToString(ResultReason::kStopping));
+    return handle;
+  }
   budget_.OnRequest(call->arrived_at, call->service);
   call->timer = std::make_unique<Timer>(base_, [this, handle] { OnDeadline(handle); });
   call->timer->StartOnce(timeout + kResultSlack);
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -69,6 +69,10 @@
   void SetConfig(std::shared_ptr<const MeshConfig> config) { config_ = std::move(config); }
   const std::shared_ptr<const MeshConfig>& config() const { return config_; }
 
+  /// Refuses calls that start from now on and whose deadline is after `latest`: the end of the
+  /// process would cut them off while a server may be running them.
+  void SetLatestDeadline(ProxyTime latest) { latest_deadline_ = latest; }
+
   /// Starts a call. `callback` runs once, possibly from within this function, unless the call is
   /// cancelled.
   Handle Start(CallerRequest request, Callback callback);
@@ -145,6 +149,7 @@
   SidecarMetrics* metrics_;
   std::shared_ptr<const MeshConfig> config_;
   FleetRetryBudget budget_;
+  ProxyTime latest_deadline_ = ProxyTime::max();
   std::mt19937_64 rng_;
   Handle next_handle_ = 1;
   uint64_t next_offer_ = 1;
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -283,6 +283,7 @@
 void Sidecar::ContinueStop() {
   const auto now = steady_clock::now();
   caller_listener_.StopKeepAlive();
+  dispatcher_.SetLatestDeadline(stop_deadline() - Dispatcher::kResultSlack);
   if (now >= stop_deadline() - kFinalDrainTime) {
     caller_listener_.Stop();
     local_.Stop();
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -48,7 +48,8 @@
   /// Opens all listening sockets. Returns false with findings if one cannot be opened.
   bool Start(Findings* findings);
   /// Begins a graceful stop, which ends `kStopMargin` before the end of the grace period at the
-  /// latest. New calls are accepted until `kFinalDrainTime` before that; from then on the event
+  /// latest. New calls are accepted until `kFinalDrainTime` before that, but after
+  /// `kReadinessDetectionTime` only if their deadline is before the end; from then on the event
   /// loop ends once all calls have their responses. A second call ends the event loop at once.
   void Stop();
   /// Whether this sidecar watches the store for the others.
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(AppliesOnlyNewerValidConfiguration);
   CPPUNIT_TEST(StopCompletesRunningCalls);
   CPPUNIT_TEST(StoppingSidecarStillServesItsUpstream);
+  CPPUNIT_TEST(LateCallsOfAStoppingSidecarAreRefused);
   CPPUNIT_TEST(AllSendersAvoidAServerThatFailsCalls);
   CPPUNIT_TEST(MetricsCountRefusals);
   CPPUNIT_TEST(NestedCallIsIdentifiedByParentRequestId);
@@ -767,6 +768,40 @@
     CPPUNIT_ASSERT_EQUAL(503, StatusOf(mesh.Call(0, "POST", "/unsafe/x", "id-last")));
   }
 
+  // Guards against calls that a stopping sidecar passes on although it ends before they have to be
+  // answered. Such a call was cut off without a response while a server was running it.
+  void LateCallsOfAStoppingSidecarAreRefused() {
+    SidecarMesh mesh(2);
+    mesh.SendHeartbeat(1);
+    mesh.WaitUntilServing(0);
+    mesh.PutConfig(2, milliseconds(3000));
+    CPPUNIT_ASSERT(
+        mesh.Pump([&] { return mesh.Metrics(0).find("config_version 2\n") != std::string::npos; }));
+    mesh.at(0).sidecar->Stop();
+    mesh.PumpFor(Sidecar::kReadinessDetectionTime + milliseconds(200));
+    mesh.SendHeartbeat(1);
+    mesh.PumpFor(milliseconds(1200));
+    mesh.at(1).upstream->set_responder([](RawServer::Connection*, const std::string&) {});
+    for (const std::string method : {"GET /safe/x", "POST /unsafe/x"}) {
+      const std::string id = method.substr(0, 3);
+      RawClient client(mesh.at(0).settings.caller_listen);
+      client.Send(method + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
+                  "\r\nX-Timeout-Ms: 2500\r\nContent-Length: 0\r\n\r\n");
+      CPPUNIT_ASSERT(mesh.Pump([&] { return IsComplete(client.Read()); }));
+      CPPUNIT_ASSERT_EQUAL(503, StatusOf(client.Read()));
+      CPPUNIT_ASSERT(client.Contains("Retry-After: "));
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, mesh.RequestCount(id));
+    }
+    // A call that ends in time is still served.
+    mesh.at(1).upstream->set_responder(&FakeUpstream::RespondOk);
+    RawClient client(mesh.at(0).settings.caller_listen);
+    client.Send(
+        "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: short\r\nX-Timeout-Ms: 300\r\n"
+        "\r\n");
+    CPPUNIT_ASSERT(mesh.Pump([&] { return IsComplete(client.Read()); }));
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(client.Read()));
+  }
+
   // Guards against senders that each learn from their own failed calls that a server fails. A
   // sender that has never called it must know from the sidecar beside the server.
   void AllSendersAvoidAServerThatFailsCalls() {
--- a/src/libsidecar/testing/sidecar_mesh.cc
+++ b/src/libsidecar/testing/sidecar_mesh.cc
@@ -117,9 +117,10 @@
   for (size_t i = 0; i < nodes; ++i) Start(i);
 }
 
-void SidecarMesh::PutConfig(int version) {
-  const auto route = [](const char* prefix, const char* kind) {
-    return json::array({prefix, "h.example", prefix, kind, 1.0, 0.3, 1, nullptr, 2, "s"});
+void SidecarMesh::PutConfig(int version, std::chrono::milliseconds timeout) {
+  const double timeout_s = std::chrono::duration<double>(timeout).count();
+  const auto route = [timeout_s](const char* prefix, const char* kind) {
+    return json::array({prefix, "h.example", prefix, kind, timeout_s, 0.3, 1, nullptr, 2, "s"});
   };
   const json config = {
       {"version", "r" + std::to_string(version)},
--- a/src/libsidecar/testing/sidecar_mesh.h
+++ b/src/libsidecar/testing/sidecar_mesh.h
@@ -69,7 +69,8 @@
   /// Sends a heartbeat of the upstream of a node. Fails the test if it is not acknowledged.
   void SendHeartbeat(size_t i, const std::string& state = "ready");
   void Deregister(size_t i);
-  void PutConfig(int version);
+  /// `timeout`: of all routes.
+  void PutConfig(int version, std::chrono::milliseconds timeout = std::chrono::seconds(1));
   /// Waits until the sidecar of node `i` responds to a test request with 200.
   void WaitUntilServing(size_t i);
   /// Sends a request to the sidecar of node `i` on a new connection. Returns the bytes of the
