Dispatcher: a caller with a shorter timeout is not taken for a retry

Cause: the time that a caller has spent on earlier attempts is taken to be the difference between the longest timeout seen for such calls and its own.

Change: a difference of at least the objective is a shorter timeout, since refused callers come back sooner.

Ruled out: estimates of rare profiles that one unusual call determines.

ShorterTimeoutIsNotTakenForARetry fails without the change (503) and passes.

--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -64,13 +64,17 @@
 }
 
 // Returns the time that the caller spent on earlier attempts. A caller that retries after a refusal
-// sends the time it has left, while its latency objective counts from its first attempt.
-ProxyDuration Dispatcher::PreviousAttemptTime(uint64_t profile, ProxyDuration timeout) {
+// sends the time it has left, while its latency objective counts from its first attempt. A caller
+// that has much less time than others has set a shorter timeout: retries come sooner than the
+// objective passes.
+ProxyDuration Dispatcher::PreviousAttemptTime(const MeshRoute& route, uint64_t profile,
+                                              ProxyDuration timeout) {
   constexpr size_t kMaxProfiles = 1024;
   if (longest_timeout_.size() > kMaxProfiles) longest_timeout_.clear();
   ProxyDuration& longest = longest_timeout_[profile];
   longest = std::max(longest, timeout);
-  return longest - timeout;
+  const ProxyDuration spent = longest - timeout;
+  return spent < route.objective ? spent : ProxyDuration(0);
 }
 
 Dispatcher::Handle Dispatcher::Start(CallerRequest request, Callback callback) {
@@ -109,7 +113,7 @@
   ProxyDuration spent(0);
   if (caller.timeout) {
     timeout = std::min<ProxyDuration>(timeout, *caller.timeout);
-    spent = PreviousAttemptTime(call->profile, *caller.timeout);
+    spent = PreviousAttemptTime(*route, call->profile, *caller.timeout);
   }
   call->deadline = call->arrived_at + timeout;
   call->objective = call->arrived_at + route->objective - spent;
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -118,7 +118,8 @@
   };
 
   const std::string& ChooseService(const MeshRoute& route);
-  ProxyDuration PreviousAttemptTime(uint64_t profile, ProxyDuration timeout);
+  ProxyDuration PreviousAttemptTime(const MeshRoute& route, uint64_t profile,
+                                    ProxyDuration timeout);
   void OfferToNextServer(Call* call);
   ServerCandidates Candidates(const std::string& service) const;
   void Offer(Call* call, Peer* peer, ProxyDuration max_wait);
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(AllSendersAvoidAServerThatFailsCalls);
   CPPUNIT_TEST(MuteServerNeitherKeepsItsSlotsNorRunsCallsTwice);
   CPPUNIT_TEST(ResponseHeadCutAnywhereIsNotASuccess);
+  CPPUNIT_TEST(ShorterTimeoutIsNotTakenForARetry);
   CPPUNIT_TEST(MetricsCountRefusals);
   CPPUNIT_TEST(NestedCallIsIdentifiedByParentRequestId);
   CPPUNIT_TEST(AvoidsServerThatCausesCallerTimeouts);
@@ -910,6 +911,41 @@
     }
   }
 
+  // Guards against a caller that is refused whenever servers are busy, because it sets a shorter
+  // timeout than others and is taken for one that has spent the difference on earlier attempts.
+  void ShorterTimeoutIsNotTakenForARetry() {
+    SidecarMesh mesh(1);
+    mesh.SendHeartbeat(0);
+    mesh.WaitUntilServing(0);
+    const auto request = [](const std::string& id, const std::string& timeout_ms) {
+      return "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
+             "\r\nX-Timeout-Ms: " + timeout_ms + "\r\n\r\n";
+    };
+    RawClient patient(mesh.at(0).settings.caller_listen);
+    patient.Send(request("patient", "3000"));
+    CPPUNIT_ASSERT(mesh.Pump([&] { return IsComplete(patient.Read()); }));
+    std::vector<std::pair<RawServer::Connection*, std::string>> held;
+    mesh.at(0).upstream->set_responder(
+        [&held](RawServer::Connection* connection, const std::string& head) {
+          if (head.find("POST") != 0) return FakeUpstream::RespondOk(connection, head);
+          held.emplace_back(connection, head);
+        });
+    constexpr size_t kSlots = 4;
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (size_t i = 0; i < kSlots; ++i) {
+      clients.push_back(std::make_unique<RawClient>(mesh.at(0).settings.caller_listen));
+      clients.back()->Send(RequestText("POST", "/unsafe/x", "held-" + std::to_string(i), ""));
+    }
+    CPPUNIT_ASSERT(mesh.Pump([&] { return held.size() == kSlots; }));
+    RawClient client(mesh.at(0).settings.caller_listen);
+    client.Send(request("short", "1000"));
+    mesh.PumpFor(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::string(), client.Read());
+    for (const auto& [connection, head] : held) FakeUpstream::RespondOk(connection, head);
+    CPPUNIT_ASSERT(mesh.Pump([&] { return IsComplete(client.Read()); }));
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(client.Read()));
+  }
+
   // Guards against metrics that do not match the responses that callers receive.
   void MetricsCountRefusals() {
     SidecarMesh mesh(1);
