Sidecar: mend lint findings

Cause: a branch without braces and a concatenation in a new test, found by scripts/lint.sh. Change: an early return; append.

--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -156,8 +156,8 @@
   Peer* peer = directory_->Find(call.node);
   if (peer == nullptr || handles_by_offer_.count(call.offer_id) == 0) return;
   const auto waited = steady_clock::now() - call.offered_at;
-  if (waited > kSlowOfferFactor * peer->candidate.load.service_time)
-    peer->failure_share.Record(steady_clock::now(), true);
+  if (waited <= kSlowOfferFactor * peer->candidate.load.service_time) return;
+  peer->failure_share.Record(steady_clock::now(), true);
 }
 
 void Dispatcher::OfferToNextServer(Call* call) {
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -785,11 +785,13 @@
     mesh.SendHeartbeat(1);
     mesh.PumpFor(milliseconds(1200));
     mesh.at(1).upstream->set_responder([](RawServer::Connection*, const std::string&) {});
-    for (const std::string method : {"GET /safe/x", "POST /unsafe/x"}) {
+    for (const std::string& method : {std::string("GET /safe/x"), std::string("POST /unsafe/x")}) {
       const std::string id = method.substr(0, 3);
       RawClient client(mesh.at(0).settings.caller_listen);
-      client.Send(method + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
-                  "\r\nX-Timeout-Ms: 2500\r\nContent-Length: 0\r\n\r\n");
+      std::string request = method;
+      request.append(" HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ").append(id);
+      request.append("\r\nX-Timeout-Ms: 2500\r\nContent-Length: 0\r\n\r\n");
+      client.Send(request);
       CPPUNIT_ASSERT(mesh.Pump([&] { return IsComplete(client.Read()); }));
       CPPUNIT_ASSERT_EQUAL(503, StatusOf(client.Read()));
       CPPUNIT_ASSERT(client.Contains("Retry-After: "));
