Fake mesh of libcall: a node that crashes while it responds is not used further

Cause: FinishCall sends the response and then uses the gate of the node. If the fault of the scenario crashes the node at just that step, the gate is gone. The sanitizer build, which has library assertions since, aborts in call_test (FaultMatrixTest::EachFaultAtEachStep); other builds used the destroyed gate silently. Only test scaffolding is concerned.

Change: return after the response if the node is down.

Result: call_test passes in the sanitizer build (before: aborted after 0.16 s).

--- a/src/libcall/testing/fake_mesh.cc
+++ b/src/libcall/testing/fake_mesh.cc
@@ -375,6 +375,8 @@
                     : kind == FinishKind::kShed ? Step::kNotRun
                                                 : Step::kFailed;
   SendBack(node, attempt, step, message);
+  // The fault of the scenario may crash the node at the step just taken.
+  if (!it.up) return;
   Apply(node, it.gate->OnFinish(now_, attempt, time, kind));
 }
 
