Load replay: a class without a rate of its own has no arrivals

Cause: classes that are only called by other classes have a rate of 0, for which the gap between arrivals was drawn from an exponential distribution with a rate of 0. The library forbids it; the sanitizer build, which has library assertions, aborts in proxy_test (LoadReplayTest::RecoversFromASurgeWithNestedCalls).

Change: no arrivals are scheduled for such a class.

Result: proxy_test no longer aborts.

--- a/src/libproxy/testing/load_replay.cc
+++ b/src/libproxy/testing/load_replay.cc
@@ -105,7 +105,8 @@
   ReplayResult Run() {
     for (size_t data_centre = 0; data_centre < scenario_.data_centres.size(); ++data_centre) {
       for (size_t cls = 0; cls < scenario_.classes.size(); ++cls) {
-        ScheduleArrival(data_centre, cls, 0);
+        // Classes without a rate of their own are only called by other classes.
+        if (scenario_.classes[cls].calls_per_second > 0) ScheduleArrival(data_centre, cls, 0);
       }
     }
     loop_.Run();
