Placement: first offers look for a free slot, and calls stay in their data centre

Instrumented, the replay showed calls that wait while servers idle: in the nested scenario the service in the middle is busy to 0.77, yet calls waited 67 ms for a slot, 379 ms in the lowest class. A pair of VMs exchanges less than one call a second, so a sender knows only the mean occupancy of a server; it accepted a wait up to the expected completion at the second-best server, which is overestimated for the same reason. The cross-data-centre cost of 2 ms vanished in the jitter and in the noise of the estimates (0.3 and about 0.2 of the service time), so that 0.57 of the responses crossed for no gain; bytes between data centres are the largest price on all sites.

Change: an offer accepts a wait of at most 15 ms, or longer for large requests, until all eligible servers or four of them were tried; then the call goes to the best of all with any wait, as before. A server in another data centre costs 15 ms, half of the call's service time and 4 us per byte of request and response.

FirstOffersLookForAFreeSlot and the test of the own data centre fail without the change.

--- a/include/camphorhoist/call_placement.h
+++ b/include/camphorhoist/call_placement.h
@@ -13,14 +13,16 @@
 
 /// Selects the servers that one call is offered to, and decides when the call is refused.
 ///
-/// A sidecar knows the load of remote servers only from their last responses. An offer therefore
-/// contains the longest wait that the sender accepts. After a longer wait, the second-best server
-/// would be expected to complete the call earlier. The sidecar on the server's VM rejects the offer
-/// if the wait would be longer, and returns the current load. A rejected offer reaches no server,
-/// so it costs one round trip between sidecars and nothing of the retry budget.
+/// A sidecar knows the load of remote servers only from their last responses. In a large fleet a
+/// pair of VMs exchanges less than one call a second, so that these reports say little about the
+/// moment. The first offers of a call therefore look for a free slot: they accept only a wait that
+/// is short compared with the round trip of one more offer. The sidecar on the server's VM rejects
+/// an offer with a longer wait and returns the current load. A rejected offer reaches no server, so
+/// it costs one round trip between sidecars and nothing of the retry budget. If several servers
+/// were busy, the call goes to the one that is expected to complete it first, with any wait.
 ///
-/// Keeps calls on the servers that complete them first, under load peaks and with servers of
-/// different speed, although load reports are out of date.
+/// Keeps calls from waiting for one server while others are idle, under load peaks and with servers
+/// of different speed, although load reports are out of date.
 ///
 /// Thread safety: none; use from one thread.
 class CallPlacement {
@@ -30,9 +32,9 @@
   /// Longest wait for a last offer. Whether the call can still complete in time is decided by the
   /// queue of the server.
   static constexpr ProxyDuration kUnlimitedWait = std::chrono::minutes(10);
-  /// Lower bound on the accepted wait. Trying another server for a smaller gain would cost as much
-  /// in network delay.
-  static constexpr ProxyDuration kMinAcceptedWait{3000};
+  /// Longest wait that an offer accepts while other servers have not been tried. Requests for which
+  /// another offer costs more, because of their size, accept a longer one.
+  static constexpr ProxyDuration kMinAcceptedWait{15000};
   /// Shortest Retry-After. With a shorter one, the retry would find the same queue.
   static constexpr ProxyDuration kMinRetryAfter{50000};
   /// Retry-After if no server was found. If servers failed the call without being overloaded, the
--- a/include/camphorhoist/server_picker.h
+++ b/include/camphorhoist/server_picker.h
@@ -36,6 +36,7 @@
   size_t response_bytes = 0;
   /// Mean service time over the servers that ran such calls; 0 if there were none.
   ProxyDuration service_time{};
+  size_t request_bytes = 0;
 };
 
 /// Servers that a call can be offered to. The pointers are valid only during one decision.
@@ -52,11 +53,14 @@
 /// Thread safety: none; use from one thread.
 class ServerPicker {
  public:
-  /// Cost of a server in another data centre: one round trip, and a cost per byte of the response,
-  /// since traffic between data centres is billed. A response of 100 KB is taken from another data
-  /// centre only if that saves about 400 ms.
-  static constexpr ProxyDuration kCrossDataCentreCost{2000};
+  /// Cost of a server in another data centre: the round trip and the headers of the call, and a
+  /// cost per byte of its request and response, since traffic between data centres is billed. A
+  /// response of 100 KB is taken from another data centre only if that saves about 400 ms.
+  static constexpr ProxyDuration kCrossDataCentreCost{15000};
   static constexpr double kCrossDataCentreMicrosPerByte = 4;
+  /// Part of that cost that is proportional to the service time. Estimates of the service time vary
+  /// by as much between equal servers, so that a smaller difference is no reason to cross.
+  static constexpr double kCrossDataCentreServiceShare = 0.5;
   /// Time within which the expected occupancy returns linearly from the reported value to the mean.
   static constexpr ProxyDuration kReportDecayTime{300000};
   /// Size from which the wait for the network link of the server's VM is added to the cost.
@@ -93,6 +97,8 @@
   /// queueing delay and service time, with surcharges for occupancy, warm-up and failures.
   static ProxyDuration ExpectedCompletion(ProxyTime now, ProxyDuration service_time,
                                           const ServerCandidate& candidate);
+  /// Returns the cost of `bytes` that cross the border of a data centre.
+  static ProxyDuration TransferCost(size_t bytes);
   /// Returns the expected service time of the call on the server of `candidate`.
   static ProxyDuration ExpectedServiceTime(const CallEstimate& call,
                                            const ServerCandidate& candidate);
--- a/src/libproxy/call_placement.cc
+++ b/src/libproxy/call_placement.cc
@@ -46,7 +46,7 @@
   } else if (is_only_one) {
     offer.max_wait = std::max(kMinAcceptedWait, *shortest_wait_);
   } else {
-    offer.max_wait = std::max(kMinAcceptedWait, choices[1].cost - choices[0].service_time);
+    offer.max_wait = std::max(kMinAcceptedWait, ServerPicker::TransferCost(call.request_bytes));
   }
   return offer;
 }
--- a/src/libproxy/call_placement_test.cc
+++ b/src/libproxy/call_placement_test.cc
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(PrefersIdleServers);
   CPPUNIT_TEST(PrefersTheOwnZoneForLargeResponses);
   CPPUNIT_TEST(TriesAllBusyServersThenAcceptsAnyWait);
+  CPPUNIT_TEST(FirstOffersLookForAFreeSlot);
+  CPPUNIT_TEST(LargeRequestsAreOfferedLessOften);
   CPPUNIT_TEST(NeverRetriesAFailedServer);
   CPPUNIT_TEST(AvoidsServersWithManyFailures);
   CPPUNIT_TEST(DistributesCallsOverEqualServers);
@@ -107,6 +109,41 @@
     CPPUNIT_ASSERT(placement.overloaded());
   }
 
+  // Guards against a call that queues at one server while others are idle, although their last
+  // reports show full queues.
+  void FirstOffersLookForAFreeSlot() {
+    std::mt19937_64 rng(1);
+    const std::vector<ServerCandidate> candidates = {
+        Candidate("0", "a", 12), Candidate("1", "a", 24), Candidate("2", "a", 36)};
+    CallEstimate call;
+    call.service_time = milliseconds(200);
+    CallPlacement placement;
+    for (size_t i = 0; i < 2; ++i) {
+      const auto offer = placement.NextOffer(kNow, "a", call, Pointers(candidates), &rng);
+      CPPUNIT_ASSERT_EQUAL(i, offer->index);
+      CPPUNIT_ASSERT(offer->max_wait < milliseconds(50));
+      placement.OnBusy(candidates[offer->index].node, milliseconds(400));
+    }
+    const auto third = placement.NextOffer(kNow, "a", call, Pointers(candidates), &rng);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, third->index);
+    CPPUNIT_ASSERT(third->max_wait <= milliseconds(400));
+  }
+
+  // Guards against large requests that cross the links several times to save a short wait, and
+  // that go to another data centre for a small gain.
+  void LargeRequestsAreOfferedLessOften() {
+    std::mt19937_64 rng(1);
+    const std::vector<ServerCandidate> candidates = {Candidate("near", "a", 0, 90),
+                                                     Candidate("far", "b", 0, 40)};
+    CallEstimate call;
+    call.request_bytes = 100000;
+    for (int i = 0; i < 50; ++i) {
+      const auto offer = CallPlacement().NextOffer(kNow, "a", call, Pointers(candidates), &rng);
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, offer->index);
+      CPPUNIT_ASSERT(offer->max_wait >= milliseconds(200));
+    }
+  }
+
   // Guards against sending a call again to a server that failed it.
   void NeverRetriesAFailedServer() {
     std::mt19937_64 rng(1);
--- a/src/libproxy/load_replay_bench.cc
+++ b/src/libproxy/load_replay_bench.cc
@@ -10,8 +10,8 @@
 
 int main() {
   using namespace camphorhoist;  // NOLINT(google-build-using-namespace): short program
-  std::printf("%-28s %7s %7s %7s %7s %7s %8s %7s %9s\n", "scenario", "credit", "net", "timely",
-              "late", "refused", "held_ms", "offers", "busy");
+  std::printf("%-28s %7s %7s %7s %7s %7s %8s %7s %7s %7s %9s\n", "scenario", "credit", "net",
+              "timely", "late", "refused", "held_ms", "offers", "remote", "remote", "busy");
   for (const NamedScenario& it : AllScenarios()) {
     constexpr int kSeeds = 5;
     double credit = 0;
@@ -21,6 +21,8 @@
     double refused = 0;
     double refusal_ms = 0;
     double offers = 0;
+    double remote_offers = 0;
+    double remote_responses = 0;
     double utilisation = 0;
     for (int seed = 1; seed <= kSeeds; ++seed) {
       ReplayScenario scenario = it.scenario;
@@ -45,10 +47,13 @@
         refusal_ms += sum.refusal_latency_ms / static_cast<double>(sum.refusals) / kSeeds;
       }
       offers += result.offers / kSeeds;
+      remote_offers += result.remote_offers / kSeeds;
+      remote_responses += result.remote_responses / kSeeds;
       utilisation += result.utilisation / kSeeds;
     }
-    std::printf("%-28s %7.3f %7.3f %7.3f %7.3f %7.3f %8.1f %7.2f %9.3f\n", it.name.c_str(), credit,
-                net, timely, late, refused, refusal_ms, offers, utilisation);
+    std::printf("%-28s %7.3f %7.3f %7.3f %7.3f %7.3f %8.1f %7.2f %7.2f %7.2f %9.3f\n",
+                it.name.c_str(), credit, net, timely, late, refused, refusal_ms, offers,
+                remote_offers, remote_responses, utilisation);
   }
   return 0;
 }
--- a/src/libproxy/load_replay_test.cc
+++ b/src/libproxy/load_replay_test.cc
@@ -52,7 +52,9 @@
   CPPUNIT_TEST(RefusesCallsEarly);
   CPPUNIT_TEST(AvoidsASlowServer);
   CPPUNIT_TEST(ServesUrgentClassAtLeastAsWell);
+  CPPUNIT_TEST(NestedCallsDoNotCauseCollapseAtOrdinaryLoad);
   CPPUNIT_TEST(RecoversFromASurgeWithNestedCalls);
+  CPPUNIT_TEST(PreferenceForTheOwnDataCentreCostsNoCredit);
   CPPUNIT_TEST(IsDeterministicForASeed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -120,6 +122,33 @@
     }
   }
 
+  // Guards against a mesh that tips over without any fault: short nested calls crowd on servers
+  // whose mean service time they lower, their parents keep slots for longer, and queues fill with
+  // calls that are late already while timely ones are refused. The target is 0.9 of the credit.
+  void NestedCallsDoNotCauseCollapseAtOrdinaryLoad() {
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+      ReplayScenario scenario = NestedCallsBetweenServices(1);
+      scenario.seed = seed;
+      const ReplayResult result = RunReplay(scenario);
+      CPPUNIT_ASSERT(result.credit > 0.9);
+      for (size_t second = 1; second < 20; ++second) {
+        CPPUNIT_ASSERT(result.seconds[second].share() > 0.85);
+      }
+    }
+  }
+
+  // Guards against traffic between data centres, which is billed, where it gains nothing. Among
+  // equal servers of three data centres, two thirds of the responses would come from another one by
+  // chance; a tenth may, if a data centre has fewer servers for its demand.
+  void PreferenceForTheOwnDataCentreCostsNoCredit() {
+    ReplayScenario scenario = NestedCallsBetweenServices(0.6);
+    for (ReplayServer& it : scenario.servers) it.slowdown = [](double) { return 1.0; };
+    const ReplayResult result = RunReplay(scenario);
+    CPPUNIT_ASSERT(result.credit > 0.9);
+    CPPUNIT_ASSERT(result.remote_responses < 0.1);
+    CPPUNIT_ASSERT(result.remote_offers < 0.2);
+  }
+
   // Guards against a collapse that outlasts the surge which started it. Three seconds after the end
   // of the surge at second 11, calls have to earn what they earn in these seconds without a surge.
   void RecoversFromASurgeWithNestedCalls() {
--- a/src/libproxy/server_picker.cc
+++ b/src/libproxy/server_picker.cc
@@ -53,13 +53,17 @@
   return FromMicros(cost_us);
 }
 
+ProxyDuration ServerPicker::TransferCost(size_t bytes) {
+  return FromMicros(kCrossDataCentreMicrosPerByte * static_cast<double>(bytes));
+}
+
 std::vector<ServerPicker::Choice> ServerPicker::Rank(ProxyTime now, const std::string& data_centre,
                                                      const CallEstimate& call,
                                                      const ServerCandidates& candidates,
                                                      std::mt19937_64* rng) {
   const ProxyDuration cross_data_centre_cost =
-      kCrossDataCentreCost +
-      FromMicros(kCrossDataCentreMicrosPerByte * static_cast<double>(call.response_bytes));
+      kCrossDataCentreCost + TransferCost(call.request_bytes + call.response_bytes) +
+      FromMicros(kCrossDataCentreServiceShare * static_cast<double>(call.service_time.count()));
   std::vector<Choice> choices;
   choices.reserve(candidates.size());
   std::uniform_real_distribution<double> jitter(0, kJitterShare);
--- a/src/libproxy/testing/load_replay.cc
+++ b/src/libproxy/testing/load_replay.cc
@@ -125,8 +125,11 @@
     double slots = 0;
     for (const ReplayServer& it : scenario_.servers) slots += it.slots;
     result_.utilisation = busy_ms_ / (slots * scenario_.seconds * 1000);
-    result_.offers =
-        static_cast<double>(offers_) / static_cast<double>(std::max<uint64_t>(attempts_, 1));
+    const auto attempts = static_cast<double>(std::max<uint64_t>(attempts_, 1));
+    result_.offers = static_cast<double>(offers_) / attempts;
+    result_.remote_offers = static_cast<double>(remote_offers_) / attempts;
+    result_.remote_responses = static_cast<double>(remote_responses_) /
+                               static_cast<double>(std::max<uint64_t>(responses_, 1));
     return result_;
   }
 
@@ -185,10 +188,12 @@
     return scenario_.data_centres[sender / scenario_.senders_per_data_centre];
   }
 
+  bool IsRemote(size_t sender, size_t server) const {
+    return DataCentreOf(sender) != scenario_.servers[server].data_centre;
+  }
+
   double NetworkDelayMs(size_t sender, size_t server) const {
-    return DataCentreOf(sender) == scenario_.servers[server].data_centre
-               ? 0.2
-               : scenario_.cross_data_centre_delay_ms;
+    return IsRemote(sender, server) ? scenario_.cross_data_centre_delay_ms : 0.2;
   }
 
   void SendOffer(const std::shared_ptr<Attempt>& attempt) {
@@ -206,6 +211,7 @@
     if (!offer) return OnRefused(attempt);
     ++offers_;
     const size_t server = indices[offer->index];
+    if (IsRemote(attempt->sender, server)) ++remote_offers_;
     ++servers[server].offers_since_report;
     const ProxyDuration max_wait = offer->max_wait;
     loop_.Schedule(loop_.now() + NetworkDelayMs(attempt->sender, server),
@@ -304,6 +310,10 @@
   void EndRun(const std::shared_ptr<RunningCall>& run, bool completes) {
     if (std::exchange(run->ended, true)) return;
     const size_t server = run->server;
+    if (completes) {
+      ++responses_;
+      if (IsRemote(run->attempt->sender, server)) ++remote_responses_;
+    }
     const std::shared_ptr<Attempt>& attempt = run->attempt;
     const double run_ms = loop_.now() - run->started;
     const ProxyDuration service_time(static_cast<int64_t>(run_ms * 1000));
@@ -411,7 +421,10 @@
   std::vector<CallEstimates> estimates_by_sender_;
   uint64_t next_key_ = 1;
   uint64_t offers_ = 0;
+  uint64_t remote_offers_ = 0;
   uint64_t attempts_ = 0;
+  uint64_t responses_ = 0;
+  uint64_t remote_responses_ = 0;
   double busy_ms_ = 0;
 };
 
--- a/src/libproxy/testing/load_replay.h
+++ b/src/libproxy/testing/load_replay.h
@@ -106,6 +106,10 @@
   double utilisation = 0;
   /// Offers per call attempt.
   double offers = 0;
+  /// Offers to other data centres, per call attempt.
+  double remote_offers = 0;
+  /// Share of the responses that came from another data centre.
+  double remote_responses = 0;
   /// Mean credit per call.
   double credit = 0;
   /// Mean credit per call after the deductions for refusals. `late_refusal_penalty` grows linearly
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -162,9 +162,10 @@
 
 void Dispatcher::OfferToNextServer(Call* call) {
   const ServerCandidates candidates = Candidates(call->service);
-  const std::optional<CallPlacement::Offer> offer =
-      call->placement.NextOffer(steady_clock::now(), settings_->data_centre,
-                                estimates_.Get(call->profile), candidates, &rng_);
+  CallEstimate estimate = estimates_.Get(call->profile);
+  estimate.request_bytes = call->request.body.size();
+  const std::optional<CallPlacement::Offer> offer = call->placement.NextOffer(
+      steady_clock::now(), settings_->data_centre, estimate, candidates, &rng_);
   if (!offer) return Refuse(call, call->placement.overloaded() ? "overload" : "no_server");
   Offer(call, directory_->Find(candidates[offer->index]->node), offer->max_wait);
 }
