Test: connections between sidecars that go silent for good

Change: SilentPeerConnectionsAreReplaced attaches a packet filter that discards everything to both ends of all connections between three sidecars. Safe and unsafe calls that are sent then are answered with 200 within their second, and each reaches one server once; in the second round an upstream leaves while its status cannot be sent.

--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -34,6 +34,7 @@
   CPPUNIT_TEST(DrainMovesQueuedCallsToAnotherServer);
   CPPUNIT_TEST(DrainPersistsAcrossSidecarRestart);
   CPPUNIT_TEST(KilledSidecarIsSkippedAndRejoins);
+  CPPUNIT_TEST(SilentPeerConnectionsAreReplaced);
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
   CPPUNIT_TEST(PipelinedRequestsAreAnsweredInOrder);
   CPPUNIT_TEST(AppliesOnlyNewerValidConfiguration);
@@ -527,6 +528,37 @@
     mesh.WaitUntilServing(0);
   }
 
+  // Guards against connections between sidecars that go silent without being closed: calls that
+  // hang until their deadline, that run twice or get lost in the reconnection, and status messages
+  // that were lost with the connection, here that of an upstream that leaves.
+  void SilentPeerConnectionsAreReplaced() {
+    // As many as one upstream runs at a time: late calls are refused rather than queued.
+    constexpr int kCalls = 4;
+    SidecarMesh mesh(3);
+    mesh.SendHeartbeat(1);
+    mesh.SendHeartbeat(2);
+    mesh.WaitUntilServing(0);
+    for (const char* round : {"first", "second"}) {
+      // Both ends of a connection from each sidecar to each other one.
+      CPPUNIT_ASSERT(mesh.SilencePeerConnections() >= 12);
+      if (std::string(round) == "second") mesh.Deregister(1);
+      std::vector<std::unique_ptr<RawClient>> clients;
+      for (int i = 0; i < kCalls; ++i) {
+        const std::string id = std::string(round) + "-" + std::to_string(i);
+        clients.push_back(std::make_unique<RawClient>(mesh.at(0).settings.caller_listen));
+        clients.back()->Send(
+            RequestText(i % 2 == 0 ? "POST" : "GET", i % 2 == 0 ? "/unsafe/x" : "/safe/x", id, ""));
+      }
+      for (int i = 0; i < kCalls; ++i) {
+        const std::string id = std::string(round) + "-" + std::to_string(i);
+        CPPUNIT_ASSERT(mesh.Pump([&] { return IsComplete(clients[i]->Read()); }));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 200, StatusOf(clients[i]->Read()));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(id, size_t{1}, mesh.RequestCount(id));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mesh.at(0).upstream->request_heads().size());
+  }
+
   // Guards against oversized or ambiguous requests that are forwarded or that crash the process.
   void RejectsOversizedAndMalformedRequests() {
     SidecarMesh mesh(1);
--- a/src/libsidecar/testing/sidecar_mesh.cc
+++ b/src/libsidecar/testing/sidecar_mesh.cc
@@ -1,8 +1,12 @@
 #include "libsidecar/testing/sidecar_mesh.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <linux/filter.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
 
 #include <cstdlib>
+#include <set>
 #include <utility>
 
 namespace camphorhoist {
@@ -44,6 +48,16 @@
   return "";
 }
 
+using SocketNameFunction = int (*)(int, sockaddr*, socklen_t*);
+
+// Port of one end of an IPv4 connection; 0 if `fd` is none.
+uint16_t PortOf(SocketNameFunction get_name, int fd) {
+  sockaddr_in name{};
+  socklen_t length = sizeof(name);
+  if (get_name(fd, reinterpret_cast<sockaddr*>(&name), &length) != 0) return 0;
+  return name.sin_family == AF_INET ? ntohs(name.sin_port) : 0;
+}
+
 }  // namespace
 
 std::string LoopbackIp(size_t number) {
@@ -148,6 +162,25 @@
   CPPUNIT_ASSERT_MESSAGE(findings.ToString(), started);
 }
 
+size_t SidecarMesh::SilencePeerConnections() {
+  std::set<uint16_t> peer_ports;
+  for (const auto& node : nodes_) peer_ports.insert(node->settings.peer_listen.port());
+  sock_filter discard_all = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program = {1, &discard_all};
+  rlimit limit{};
+  CPPUNIT_ASSERT_EQUAL(0, getrlimit(RLIMIT_NOFILE, &limit));
+  size_t count = 0;
+  for (int fd = 0; fd < static_cast<int>(std::min<rlim_t>(limit.rlim_cur, 4096)); ++fd) {
+    const uint16_t remote = PortOf(getpeername, fd);
+    if (remote == 0) continue;
+    if (peer_ports.count(remote) + peer_ports.count(PortOf(getsockname, fd)) == 0) continue;
+    CPPUNIT_ASSERT_EQUAL(0,
+                         setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)));
+    ++count;
+  }
+  return count;
+}
+
 HttpResponse SidecarMesh::Fetch(const NetAddress& address, HttpRequest request) {
   bool done = false;
   HttpResponse result;
--- a/src/libsidecar/testing/sidecar_mesh.h
+++ b/src/libsidecar/testing/sidecar_mesh.h
@@ -66,6 +66,10 @@
   void Start(size_t i);
   /// Ends a sidecar as if its process were killed.
   void Kill(size_t i) { nodes_.at(i)->sidecar.reset(); }
+  /// Discards all segments that arrive from now on for the open connections between sidecars, so
+  /// that they are silent for good without being closed. Connections opened later work. Returns the
+  /// number of sockets concerned.
+  size_t SilencePeerConnections();
   /// Sends a heartbeat of the upstream of a node. Fails the test if it is not acknowledged.
   void SendHeartbeat(size_t i, const std::string& state = "ready");
   void Deregister(size_t i);
