--- a/include/camphorhoist/call_placement.h
+++ b/include/camphorhoist/call_placement.h
@@ -32,9 +32,9 @@
   /// Longest wait for a last offer. Whether the call can still complete in time is decided by the
   /// queue of the server.
   static constexpr ProxyDuration kUnlimitedWait = std::chrono::minutes(10);
-  /// Longest wait that an offer accepts while other servers have not been tried. Requests for which
-  /// another offer costs more, because of their size, accept a longer one.
-  static constexpr ProxyDuration kMinAcceptedWait{15000};
+  /// Wait that every offer accepts. While other servers have not been tried, an offer accepts no
+  /// longer one, unless the request is so large that another offer would cost more.
+  static constexpr ProxyDuration kShortWait{15000};
   /// Shortest Retry-After. With a shorter one, the retry would find the same queue.
   static constexpr ProxyDuration kMinRetryAfter{50000};
   /// Retry-After if no server was found. If servers failed the call without being overloaded, the
--- a/include/camphorhoist/server_picker.h
+++ b/include/camphorhoist/server_picker.h
@@ -31,11 +31,13 @@
   double failure_share = 0;
 };
 
-/// What a sender expects of a call before it is offered, from earlier calls of the same profile.
+/// What a sender knows or expects of a call before it is offered. Expectations are from earlier
+/// calls of the same profile.
 struct CallEstimate {
   size_t response_bytes = 0;
   /// Mean service time over the servers that ran such calls; 0 if there were none.
   ProxyDuration service_time{};
+  /// Size of the body of this call's request.
   size_t request_bytes = 0;
 };
 
@@ -97,7 +99,8 @@
   /// queueing delay and service time, with surcharges for occupancy, warm-up and failures.
   static ProxyDuration ExpectedCompletion(ProxyTime now, ProxyDuration service_time,
                                           const ServerCandidate& candidate);
-  /// Returns the cost of `bytes` that cross the border of a data centre.
+  /// Returns the time that is worth spending to keep `bytes` from crossing the border of a data
+  /// centre.
   static ProxyDuration TransferCost(size_t bytes);
   /// Returns the expected service time of the call on the server of `candidate`.
   static ProxyDuration ExpectedServiceTime(const CallEstimate& call,
--- a/src/libproxy/call_placement.cc
+++ b/src/libproxy/call_placement.cc
@@ -44,9 +44,9 @@
     unlimited_offer_made_ = true;
     offer.max_wait = kUnlimitedWait;
   } else if (is_only_one) {
-    offer.max_wait = std::max(kMinAcceptedWait, *shortest_wait_);
+    offer.max_wait = std::max(kShortWait, *shortest_wait_);
   } else {
-    offer.max_wait = std::max(kMinAcceptedWait, ServerPicker::TransferCost(call.request_bytes));
+    offer.max_wait = std::max(kShortWait, ServerPicker::TransferCost(call.request_bytes));
   }
   return offer;
 }
--- a/src/libproxy/load_replay_bench.cc
+++ b/src/libproxy/load_replay_bench.cc
@@ -11,7 +11,7 @@
 int main() {
   using namespace camphorhoist;  // NOLINT(google-build-using-namespace): short program
   std::printf("%-28s %7s %7s %7s %7s %7s %8s %7s %7s %7s %9s\n", "scenario", "credit", "net",
-              "timely", "late", "refused", "held_ms", "offers", "remote", "remote", "busy");
+              "timely", "late", "refused", "held_ms", "offers", "r.offer", "r.resp", "busy");
   for (const NamedScenario& it : AllScenarios()) {
     constexpr int kSeeds = 5;
     double credit = 0;
--- a/src/libsidecar/testing/sidecar_mesh.cc
+++ b/src/libsidecar/testing/sidecar_mesh.cc
@@ -217,10 +217,10 @@
 }
 
 std::string RequestText(const std::string& method, const std::string& path, const std::string& id,
-                        const std::string& body) {
+                        const std::string& body, milliseconds timeout) {
   return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
-         "\r\nX-Timeout-Ms: 1000\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
+         "\r\nX-Timeout-Ms: " + std::to_string(timeout.count()) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 int StatusOf(const std::string& response) {
--- a/src/libsidecar/testing/sidecar_mesh.h
+++ b/src/libsidecar/testing/sidecar_mesh.h
@@ -100,7 +100,8 @@
 
 /// Text of a request to the host that the configuration routes.
 std::string RequestText(const std::string& method, const std::string& path, const std::string& id,
-                        const std::string& body);
+                        const std::string& body,
+                        std::chrono::milliseconds timeout = std::chrono::seconds(1));
 /// Status code of a response; 0 if there is none.
 int StatusOf(const std::string& response);
 /// Whether the response contains all bytes of its body.
