--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Servers that start again while nobody calls them are never used again: see claim.txt."""
+"""A server leaves; its sidecar is killed and starts again while the store is down: see claim.txt."""
 
 import asyncio
 import os
@@ -6,58 +6,91 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
-from standins import AppServer, main  # noqa: E402
+from standins import AppServer, main, post_control  # noqa: E402
 
-DOWN_S = 1.0          # srv_crash for_s: 4.5 in the site file, 5 by default
-SETTLE_S = 6.0        # well over contactS and over four heartbeats
-FIRST = [("/lots/", "safe", "lots"), ("/desk/", "safe", "desk")]
-ADDED = [("/prices/", "safe", "prices")]
-SERVICES = ["lots", "desk", "prices"]
+DRAIN_S = 2.0          # bounds.drainS
+STORE_DOWN_S = 4.5     # largest dose of platform_down for the whole store in the site file
+LATE_HEARTBEAT_S = 3.0
+
+
+class LeavingServer(AppServer):
+    """Once it leaves, it says so in its answers, and it goes on serving for some seconds."""
+
+    leaving = False
+    passed_on_at = {}  # node at which a request began -> time of the first answer with Server-Leaving
+
+    async def run(self, request_id, method, path, headers, body, writer):
+        origin = self.case.origin_of[request_id]
+        first = self.passed_on_at.get(origin)
+        sent = self.case.sent[request_id]
+        if first is not None and sent > first + DRAIN_S:
+            self.case.breaks(f"{request_id}, sent by a client at {origin} {sent - first:.2f} s after that machine "
+                             f"had passed on an answer with Server-Leaving, reaches {self.instance}")
+        return await super().run(request_id, method, path, headers, body, writer)
+
+    def answer(self, request_id, path):
+        self.extra_headers = {"Server-Leaving": "1"} if self.leaving else {}
+        return super().answer(request_id, path)
 
 
 async def scenario(case):
-    await case.put_config(1, FIRST, SERVICES)
-    desk = case.add_node("ne-a", "desk")
-    lots = [case.add_node(zone, "lots") for zone in ("ne-a", "ne-b")]
-    prices = [case.add_node(zone, "prices") for zone in ("ne-a", "ne-b", "ne-c")]
-    for node in case.nodes:
-        await node.start()
+    case.origin_of = {}
+    await case.put_config(1, [("/lots/", "safe", "lots"), ("/desk/", "safe", "desk")], ["lots", "desk"])
+    client = case.add_node("ne-a", "desk")
+    other = case.add_node("ne-b", "lots")
+    node = case.add_node("ne-a", "lots")
+    for it in case.nodes:
+        await it.start()
     await case.all_ready(case.nodes)
-    servers = {}
-    for node in case.nodes:
-        servers[node] = AppServer(case, node, node.service, f"i-{node.service}-{node.number}")
-        await servers[node].start()
-        servers[node].start_heartbeats()
-    await asyncio.sleep(4)
+    servers = [AppServer(case, client, "desk", "i-desk"), AppServer(case, other, "lots", "i-lots-2", 0.05),
+               LeavingServer(case, node, "lots", "i-lots-3", 0.05)]
+    leaving = servers[2]
+    for server in servers:
+        await server.start()
+        server.start_heartbeats()
+    await asyncio.sleep(2)
+
+    async def send(number):
+        request_id = f"d{os.getpid():x}x{number:05x}"
+        case.origin_of[request_id] = client.name
+        _, _, headers, _ = await case.call(client, "GET", "/lots/x", 1.5, request_id=request_id)
+        if "server-leaving" in headers and client.name not in leaving.passed_on_at:
+            leaving.passed_on_at[client.name] = case.now()
+            case.record("passed_on_server_leaving", client.name)
+
+    async def load():
+        for number in range(100000):
+            case.spawn(send(number))
+            await asyncio.sleep(0.05)
+
+    traffic = case.spawn(load())
+    await asyncio.sleep(2)
+    # The server leaves as PROTOCOL.md describes it for servers that deregister first. One of its heartbeats is
+    # late: it was sent before, and arrives some seconds after.
+    leaving.stop_heartbeats()
+    late = leaving.heartbeat_body()
+    leaving.leaving = True
+    await asyncio.sleep(0.3)
+    acknowledged = await leaving.deregister()
+    case.record("deregistered", leaving.instance, acknowledged)
+    left_at = case.now()
+    await asyncio.sleep(0.7)
     if case.trouble:
-        for node in prices:  # one server after the other crashes and starts again
-            await servers[node].stop()
-            servers[node].stop_heartbeats()
-            case.record("server_crashes", servers[node].instance)
-            await asyncio.sleep(DOWN_S)
-            servers[node] = AppServer(case, node, node.service, f"i-{node.service}-{node.number}-again")
-            await servers[node].start()
-            servers[node].start_heartbeats()
-            case.record("server_starts", servers[node].instance)
-            await asyncio.sleep(3)
-    await asyncio.sleep(SETTLE_S)
-    await case.put_config(2, FIRST + ADDED, SERVICES)
-    await asyncio.sleep(4)  # configApplyS is 2
-
-    async def served(path):
-        calls = []
-        for _ in range(25):
-            calls += [case.spawn(case.call(it, "GET", path)) for it in [desk] + lots]
-            await asyncio.sleep(0.4)
-        statuses = [it[1] for it in await asyncio.gather(*calls)]
-        return statuses.count(200), len(statuses)
-
-    (first, first_count), (added, added_count) = await asyncio.gather(served("/lots/x"), served("/prices/x"))
-    text = f"first routes: {first} of {first_count} served; route added later: {added} of {added_count} served"
-    case.record("served", text)
-    print(text)
-    if added_count >= 20 and added / added_count < 0.25 * first / first_count:
-        case.breaks(text)
-
-
-main(FOLDER, scenario, 90)
+        case.store.refuses = True
+        case.record("store_down")
+        await asyncio.sleep(0.2)
+        await node.kill()
+        await asyncio.sleep(0.3)
+        await node.restart()
+    await asyncio.sleep(max(0, left_at + LATE_HEARTBEAT_S - case.now()))
+    acknowledged = await post_control(node, "Heartbeat", leaving.instance, late)
+    case.record("late_heartbeat", leaving.instance, acknowledged)
+    await asyncio.sleep(max(0, left_at + 0.7 + STORE_DOWN_S - case.now()))
+    case.store.refuses = False
+    case.record("store_back")
+    await asyncio.sleep(3)
+    traffic.cancel()
+    await asyncio.sleep(2)
+
+
+main(FOLDER, scenario, 60)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import re
@@ -27,6 +28,14 @@
           "retryBudget": 0.2, "budgetWindowS": 10, "budgetExtra": 56, "recoveryS": 15}
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Runs in a new process before its program: it shall not outlive a script that is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
@@ -171,6 +180,7 @@
 
     def __init__(self, case, node, service, instance, work_s=0.02, slots=6, born=None):
         super().__init__(node.ip, node.app_port)
+        case.servers.append(self)
         self.case, self.node, self.service, self.instance = case, node, service, instance
         self.work_s, self.slots = work_s, slots
         self.born = born if born is not None else int(time.time() * 1000)
@@ -309,7 +319,7 @@
         environment = {it: os.environ[it] for it in ("PATH", "HOME", "LANG") if it in os.environ}
         environment["CAMPHORHOIST_CONFIG"] = self.settings_file
         self.process = await asyncio.create_subprocess_exec(
-            *self.case.command, stdout=log, stderr=log, env=environment, cwd=ROOT)
+            *self.case.command, stdout=log, stderr=log, env=environment, cwd=ROOT, preexec_fn=end_with_parent)
         log.close()
         self.starts += 1
         self.case.record("process_started", self.name, self.process.pid)
@@ -360,7 +370,7 @@
         self.directory = tempfile.mkdtemp(prefix="review-")
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started = time.monotonic()
-        self.finished, self.tasks, self.nodes, self.lines = False, set(), [], []
+        self.finished, self.tasks, self.nodes, self.servers = False, set(), [], []
         self.used_ports, self.next_id = set(), 0
         self.runs, self.sent, self.answers = {}, {}, {}
         self.broken = []
@@ -472,9 +482,14 @@
             if node.process is not None and node.process.returncode is None:
                 node.process.kill()
                 await node.process.wait()
-        for task in list(self.tasks):
+        tasks = list(self.tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.store.stop()
+        for server in self.servers:
+            await server.stop()
+        await asyncio.sleep(0)
         self.record_file.close()
         if os.environ.get("KEEP_LOGS"):
             print("logs:", self.directory)
@@ -487,6 +502,9 @@
     async def run():
         case = Case(folder, seconds)
         try:
+            task = asyncio.current_task()
+            for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
             await case.store.start()
             await asyncio.wait_for(scenario(case), seconds)
         finally:
@@ -496,7 +514,7 @@
         return 1 if case.broken else 0
     try:
         status = asyncio.run(run())
-    except Exception as error:  # whatever else goes wrong is no broken rule
+    except (Exception, asyncio.CancelledError) as error:  # whatever else goes wrong is no broken rule
         print("the case could not run:", type(error).__name__, error)
         if not isinstance(error, CannotRun):
             traceback.print_exc()
