--- a/review/3/case.py
+++ b/review/3/case.py
@@ -18,32 +18,36 @@
     """A client that sends one order after the other on a kept connection."""
     reader = writer = None
     served_on_connection = 0
-    for order in range(1000):
-        if writer is None:
-            reader, writer = await asyncio.open_connection(client_node.ip, client_node.ports["outbound"])
-            served_on_connection = 0
-        request_id = f"o{os.getpid():x}x{number:02x}{order:04x}"
-        case.sent[request_id] = case.now()
-        case.record("sent", request_id, client_node.name, "POST", "/orders/x", "kept", served_on_connection)
-        response = None
-        try:
-            writer.write(encode_message("POST /orders/x HTTP/1.1", {
-                "Host": "desk.example", "X-Request-Id": request_id, "X-Timeout-Ms": "1500"}, b"one lot"))
-            response = await asyncio.wait_for(read_message(reader), 2.5)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            pass  # the connection ended; recorded below
-        if response is not None:
-            case.record("answer", request_id, response[0])
-            served_on_connection += 1
-            if response[1].get("connection") != "close":
-                continue
-        else:
-            case.record("connection_closed_without_answer", request_id, "run:", request_id in case.runs)
-            if served_on_connection > 0 and request_id in case.runs:
-                lost.append(request_id)
-        writer.close()
-        writer = None
-        await asyncio.sleep(0.5)
+    try:
+        for order in range(1000):
+            if writer is None:
+                reader, writer = await asyncio.open_connection(client_node.ip, client_node.ports["outbound"])
+                served_on_connection = 0
+            request_id = f"o{os.getpid():x}x{number:02x}{order:04x}"
+            case.sent[request_id] = case.now()
+            case.record("sent", request_id, client_node.name, "POST", "/orders/x", "kept", served_on_connection)
+            response = None
+            try:
+                writer.write(encode_message("POST /orders/x HTTP/1.1", {
+                    "Host": "desk.example", "X-Request-Id": request_id, "X-Timeout-Ms": "1500"}, b"one lot"))
+                response = await asyncio.wait_for(read_message(reader), 2.5)
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                pass  # the connection ended; recorded below
+            if response is not None:
+                case.record("answer", request_id, response[0])
+                served_on_connection += 1
+                if response[1].get("connection") != "close":
+                    continue
+            else:
+                case.record("connection_closed_without_answer", request_id, "run:", request_id in case.runs)
+                if served_on_connection > 0 and request_id in case.runs:
+                    lost.append(request_id)
+            writer.close()
+            writer = None
+            await asyncio.sleep(0.5)
+    finally:
+        if writer is not None:
+            writer.close()
 
 
 async def scenario(case):
