--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -212,25 +212,23 @@
 ControlResponse Sidecar::HandleAnnouncement(const ControlRequest& request) {
   const auto path = platform::ParseAnnouncementPath(request.path);
   if (!request.post || !path) return {kNotFound, "text/plain", ""};
-  std::optional<UpstreamReport> report;
-  if (path->call == platform::AnnouncementCall::kDeregister) {
-    report = platform::DecodeDeregistration(path->instance, request.body);
-  } else {
-    Findings findings;
-    report = platform::DecodeHeartbeat(path->instance, request.body, &findings);
-    if (!report) {
-      metrics_.Count("reports_rejected_total");
-      LogEvent(LogLevel::kWarn, "upstream", "report_rejected")
-          .Add("instance", path->instance)
-          .Add("findings", findings.ToString());
-      return {kBadRequest, "application/json", "{}"};
-    }
-    if (report->address != settings_.upstream.ToString()) {
-      LogEvent(LogLevel::kWarn, "upstream", "report_of_other_address")
-          .Add("instance", path->instance)
-          .Add("address", report->address);
-      return {kOk, "application/json", "{}"};
-    }
+  const bool heartbeat = path->call == platform::AnnouncementCall::kHeartbeat;
+  Findings findings;
+  const std::optional<UpstreamReport> report =
+      heartbeat ? platform::DecodeHeartbeat(path->instance, request.body, &findings)
+                : platform::DecodeDeregistration(path->instance, request.body, &findings);
+  if (!report) {
+    metrics_.Count("reports_rejected_total");
+    LogEvent(LogLevel::kWarn, "upstream", "report_rejected")
+        .Add("instance", path->instance)
+        .Add("findings", findings.ToString());
+    return {kBadRequest, "application/json", "{}"};
+  }
+  if (heartbeat && report->address != settings_.upstream.ToString()) {
+    LogEvent(LogLevel::kWarn, "upstream", "report_of_other_address")
+        .Add("instance", path->instance)
+        .Add("address", report->address);
+    return {kOk, "application/json", "{}"};
   }
   const UpstreamRegistry::Change change = local_.Apply(*report);
   if (change != UpstreamRegistry::Change::kRefreshed) {
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(UpstreamThatLeavesInItsResponseReceivesNoRequests);
   CPPUNIT_TEST(DrainMovesQueuedCallsToAnotherServer);
   CPPUNIT_TEST(DrainPersistsAcrossSidecarRestart);
+  CPPUNIT_TEST(ReportWithUnreadableInstanceIdIsRejected);
   CPPUNIT_TEST(KilledSidecarIsSkippedAndRejoins);
   CPPUNIT_TEST(SilentPeerConnectionsAreReplaced);
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
@@ -511,6 +512,33 @@
     CPPUNIT_ASSERT_EQUAL(before, mesh.at(1).upstream->request_heads().size());
   }
 
+  // Guards against a process that is ended by a report whose instance id is not UTF-8, which cut
+  // off all calls under way without a response.
+  void ReportWithUnreadableInstanceIdIsRejected() {
+    SidecarMesh mesh(2);
+    mesh.SendHeartbeat(0);
+    mesh.SendHeartbeat(1);
+    mesh.WaitUntilServing(0);
+    const std::string body = R"({"service":"s","address":")" +
+                             mesh.at(1).upstream->address().ToString() +
+                             R"(","slots":4,"state":"draining","coldLeftS":0,"seq":9,"born":2000})";
+    for (const char* call : {"Heartbeat", "Deregister"}) {
+      RawClient client(mesh.at(1).settings.announce_listen);
+      client.Send(std::string("POST /Instances.") + call +
+                  "/i-caf\xc3 HTTP/1.1\r\nHost: control\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body);
+      CPPUNIT_ASSERT(mesh.Pump([&] { return StatusOf(client.Read()) != 0; }));
+      CPPUNIT_ASSERT_EQUAL(400, StatusOf(client.Read()));
+    }
+    CPPUNIT_ASSERT_EQUAL(200, StatusOf(mesh.Call(1, "GET", "/safe/x", "id-1")));
+    mesh.Deregister(1);
+    CPPUNIT_ASSERT(mesh.Pump([&] {
+      const auto spec = mesh.store().Spec("sidecars", "node-1");
+      return spec.is_object() && spec["departures"].size() == 1 &&
+             spec["departures"][0]["instance"] == "i-1";
+    }));
+  }
+
   // Guards against calls to a killed sidecar, and against a restarted one that is not found again.
   void KilledSidecarIsSkippedAndRejoins() {
     SidecarMesh mesh(3);
