Sidecar: a departure that is learned late ends queued calls and is reported (DRAIN)

What callers saw: after a restart while the store is down, a late report activates a server that has left. When the store is back, the sidecar reads its entry and refuses new calls, but calls that wait for a slot still reach the server, and the other sidecars go on offering calls until it expires.

Cause: LocalUpstream::Restore only changed the registry. It neither refused queued calls nor told the other sidecars, unlike a report of the server itself.

Change: restored departures have the effect of a report: queued calls are refused as not run, and the status is reported, also when only the departures have changed.

Test: DeparturesTest::RestoredDepartureEndsQueuedCallsAndIsReported; without the two calls in Restore it fails with "Expected: 2, Actual: 0" refused calls.

--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/local_upstream.cc
@@ -25,29 +25,46 @@
       registry_(settings.announce_interval),
       queue_(kInitialSlots),
       pool_(base, settings.upstream),
-      expiry_timer_(base, [this] { NotifyIfReadyChanged(); }),
+      expiry_timer_(base, [this] { NotifyIfChanged(); }),
       queue_timer_(base, [this] { DispatchQueued(); }) {}
 
 UpstreamRegistry::Change LocalUpstream::Apply(const UpstreamReport& report) {
   const auto now = steady_clock::now();
   const std::optional<UpstreamReport> before = registry_.current();
   const auto change = registry_.Apply(now, report);
-  if (change == UpstreamRegistry::Change::kIgnored) return change;
+  if (change == UpstreamRegistry::Change::kIgnored) {
+    NotifyIfChanged();
+    return change;
+  }
   if (registry_.current()) queue_.set_slots(registry_.current()->slots);
   if (change == UpstreamRegistry::Change::kActivated) pool_.CloseIdle();
   const bool same_instance = before && before->instance == registry_.current()->instance &&
                              before->started_ms == registry_.current()->started_ms;
   if (!same_instance) OnNewInstance();
-  if (change == UpstreamRegistry::Change::kDeactivated) {
-    const std::vector<uint64_t> keys = queue_.RemoveAllQueued();
-    for (const uint64_t key : keys) Refuse(ids_by_queue_key_.at(key), ResultReason::kNoUpstream);
-  }
-  NotifyIfReadyChanged();
+  if (change == UpstreamRegistry::Change::kDeactivated) RefuseQueued();
+  NotifyIfChanged();
   const ProxyDuration left = duration_cast<ProxyDuration>(registry_.expiry() - now);
   expiry_timer_.StartOnce(std::max(ProxyDuration(0), left) + milliseconds(1));
   return change;
 }
 
+void LocalUpstream::RefuseQueued() {
+  const std::vector<uint64_t> keys = queue_.RemoveAllQueued();
+  for (const uint64_t key : keys) Refuse(ids_by_queue_key_.at(key), ResultReason::kNoUpstream);
+}
+
+void LocalUpstream::Restore(const std::vector<UpstreamDeparture>& departures) {
+  const auto now = steady_clock::now();
+  const bool was_ready = registry_.ready(now);
+  for (const UpstreamDeparture& it : departures) registry_.Restore(it);
+  if (was_ready && !registry_.ready(now)) {
+    LogEvent(LogLevel::kInfo, "upstream", "departure_restored")
+        .Add("instance", registry_.current()->instance);
+    RefuseQueued();
+  }
+  NotifyIfChanged();
+}
+
 void LocalUpstream::OnLeaving(const UpstreamReport& instance) {
   const bool is_ready = registry_.current() && registry_.current()->state == UpstreamState::kReady;
   UpstreamReport report = instance;
@@ -94,13 +111,17 @@
   rate_limit_ = per_second;
 }
 
-void LocalUpstream::NotifyIfReadyChanged() {
+void LocalUpstream::NotifyIfChanged() {
   const bool ready = !stopping_ && registry_.ready(steady_clock::now());
-  if (ready == was_ready_) return;
-  was_ready_ = ready;
-  LogEvent(LogLevel::kInfo, "upstream", ready ? "takes_calls" : "takes_no_calls")
-      .Add("instance", registry_.current() ? registry_.current()->instance : "")
-      .Add("stopping", stopping_);
+  const bool departed = reported_departures_ != registry_.departures();
+  if (ready == was_ready_ && !departed) return;
+  if (departed) reported_departures_ = registry_.departures();
+  if (ready != was_ready_) {
+    was_ready_ = ready;
+    LogEvent(LogLevel::kInfo, "upstream", ready ? "takes_calls" : "takes_no_calls")
+        .Add("instance", registry_.current() ? registry_.current()->instance : "")
+        .Add("stopping", stopping_);
+  }
   on_status_changed_();
 }
 
@@ -259,7 +280,7 @@
   }
   if (outcome.reason == ResultReason::kUpstreamUnreachable) {
     registry_.OnUnreachable();
-    NotifyIfReadyChanged();
+    NotifyIfChanged();
   }
   const bool leaving = outcome.decoded.leaving;
   const UpstreamReport upstream = tracked.upstream;
@@ -420,7 +441,7 @@
 
 void LocalUpstream::Stop() {
   stopping_ = true;
-  NotifyIfReadyChanged();
+  NotifyIfChanged();
 }
 
 }  // namespace camphorhoist
--- a/src/libsidecar/local_upstream.h
+++ b/src/libsidecar/local_upstream.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "camphorhoist/failure_share.h"
 #include "camphorhoist/server_queue.h"
@@ -52,8 +53,8 @@
   /// Number of instances whose remembered rate limits are kept.
   static constexpr size_t kMaxRememberedInstances = 16;
 
-  /// `on_status_changed` is called when the upstream starts or stops accepting calls, or starts or
-  /// stops failing many of them.
+  /// `on_status_changed` is called when the upstream starts or stops accepting calls, when a
+  /// departure is recorded, or when the upstream starts or stops failing many calls.
   LocalUpstream(event_base* base, const SidecarSettings& settings,
                 std::function<void()> on_status_changed);
 
@@ -67,7 +68,9 @@
   /// Takes the rate limit of the upstream that another sidecar remembers from an earlier run of
   /// this process. It is in force until the first response of that instance.
   void OnRememberedStatus(const UpstreamStatus& remembered);
-  void Restore(const UpstreamDeparture& departure) { registry_.Restore(departure); }
+  /// Adds departures that an earlier run of this process recorded, as the store or another sidecar
+  /// remembers them. If the current incarnation is among them, queued calls are refused.
+  void Restore(const std::vector<UpstreamDeparture>& departures);
   const UpstreamRegistry& registry() const { return registry_; }
 
   /// Offers a call. `reply` is called once, unless the call is cancelled or the connection is
@@ -134,7 +137,9 @@
   void DispatchQueued();
   void EvictExpiredResults();
   CallResult NewResult(const CallId& id, ResultKind kind, ResultReason reason) const;
-  void NotifyIfReadyChanged();
+  void RefuseQueued();
+  /// Reports the status if the readiness or the departures have changed since the last report.
+  void NotifyIfChanged();
   /// Time that large responses, including the expected ones, keep the link busy.
   ProxyDuration DeliveryWait() const;
   /// Time that the link needs to send `bytes` of large responses.
@@ -164,6 +169,7 @@
   bool stopping_ = false;
   ProxyTime latest_deadline_ = ProxyTime::max();
   bool was_ready_ = false;
+  std::deque<UpstreamDeparture> reported_departures_;
   uint64_t next_queue_key_ = 1;
   size_t retained_bytes_ = 0;
   std::unordered_map<CallId, TrackedCall> tracked_calls_;
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -71,7 +71,7 @@
               [this](const std::set<std::string>& nodes) { OnEntriesListed(nodes); },
               [this] { BroadcastStoreStatus(); },
               [this](const SidecarEntry& entry) {
-                for (const UpstreamDeparture& it : entry.departures) local_.Restore(it);
+                local_.Restore(entry.departures);
                 PersistDepartures();
               }}),
       election_timer_(base, [this] { ElectStoreWatchers(); }),
