--- a/src/camphorhoist_sidecar/main.cc
+++ b/src/camphorhoist_sidecar/main.cc
@@ -1,5 +1,6 @@
 // camphorhoist_sidecar: the proxy process next to one upstream on the platform.
 
+#include <malloc.h>
 #include <signal.h>
 #include <sys/stat.h>
 #include <xxhash.h>
@@ -31,6 +32,13 @@
 /// Interval at which the settings file is checked for changes, which may come without a signal.
 constexpr std::chrono::seconds kSettingsCheckInterval{2};
 
+/// Larger buffers have mappings of their own, so that their memory is returned when they are freed.
+/// By default glibc raises this limit to the size of the largest freed buffer, and large bodies
+/// leave fragments in the heap.
+constexpr int kMaxHeapBufferBytes = 1 << 20;
+/// Free memory at the end of the heap that is kept.
+constexpr int kMaxFreeHeapBytes = 2 << 20;
+
 /// Log lines are buffered for at most this long; a killed process loses them.
 constexpr std::chrono::milliseconds kLogFlushInterval{100};
 
@@ -151,6 +159,8 @@
   // A SIGHUP that arrives before its handler exists would end the process. Ignoring it loses no
   // reload: the settings are read after this, and the file is checked again later.
   signal(SIGHUP, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, kMaxHeapBufferBytes);
+  mallopt(M_TRIM_THRESHOLD, kMaxFreeHeapBytes);
   Findings findings;
   bool help = false;
   const std::optional<Options> options = ReadOptions(argc, argv, &findings, &help);
--- a/src/libsidecar/upstream_pool.cc
+++ b/src/libsidecar/upstream_pool.cc
@@ -132,9 +132,13 @@
     }
     outcome_.decoded = decoded;
     outcome_.status = parser_.status();
-    if (parser_.content_length()) {
+    if (parser_.content_length() && call_.method != "HEAD") {
       const auto length = static_cast<size_t>(*parser_.content_length());
-      outcome_.body.reserve(std::min(length, kMaxResponseBytes));
+      if (length > kMaxResponseBytes) {
+        Fail(ResultKind::kUnknown, ResultReason::kBrokenResponse);
+        return false;
+      }
+      outcome_.body.reserve(length);
     }
     return true;
   }
