Tests of departures: results are moved, as clang-tidy asks

Cause: lint (performance-unnecessary-value-param) failed on three lambdas of local_upstream_test.cc. Change: the results are moved, a message is taken by reference. Checks and values are unchanged. Measured: DeparturesTest, 4 of 4; lint of the other changed files found nothing.

--- a/src/libsidecar/local_upstream_test.cc
+++ b/src/libsidecar/local_upstream_test.cc
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "libsidecar/peer_directory.h"
@@ -62,7 +63,8 @@
     local.Apply(NewReport(upstream));
     std::vector<CallResult> results;
     for (uint64_t n = 0; n < 3; ++n) {
-      local.Offer(NewOffer(n), 1, [&results](CallResult result) { results.push_back(result); });
+      local.Offer(NewOffer(n), 1,
+                  [&results](CallResult result) { results.push_back(std::move(result)); });
     }
     CPPUNIT_ASSERT(PumpUntil(base.get(), [&] { return upstream.request_heads().size() == 1; }));
     CPPUNIT_ASSERT(results.empty());
@@ -91,7 +93,8 @@
     LocalUpstream local(base.get(), settings, [] {});
     local.Apply(NewReport(upstream));
     std::vector<CallResult> results;
-    local.Offer(NewOffer(1), 1, [&results](CallResult result) { results.push_back(result); });
+    local.Offer(NewOffer(1), 1,
+                [&results](CallResult result) { results.push_back(std::move(result)); });
     CPPUNIT_ASSERT(PumpUntil(base.get(), [&] { return !results.empty(); }));
     CPPUNIT_ASSERT(results[0].leaving == (UpstreamDeparture{"i", 1000}));
   }
@@ -127,7 +130,7 @@
     const EventBasePtr base = NewPreciseEventBase();
     PeerDirectory::Handlers handlers;
     handlers.hello = [] { return PeerHello(); };
-    handlers.on_message = [](Peer*, PeerMessage) {};
+    handlers.on_message = [](Peer*, const PeerMessage&) {};
     handlers.on_up = [](Peer*) {};
     handlers.on_down = [](Peer*, bool) {};
     PeerDirectory directory(base.get(), handlers);
