Soak: a fault during the start of a process does not start another one

Cause: start_process cleared exit_expected before the process existed. A SIGTERM that came in between waited for the old process, which had ended, and started a second one. Change: the flag is cleared once the process exists. The check of unexpected ends is unchanged. Measured: not reproduced; the window is open only while a start takes long.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -365,11 +365,12 @@
         await self.start_process()
 
     async def start_process(self):
-        self.exit_expected, self.started_at = False, time.monotonic()
         log = open(os.path.join(self.soak.directory, self.name + ".log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
             self.soak.binary, "--settings", self.settings_file, stdout=log, stderr=log)
         log.close()
+        # Set only now: a fault that comes during the start must not start another process.
+        self.exit_expected, self.started_at = False, time.monotonic()
         self.soak.spawn(self.check_exit(self.process))
 
     async def check_exit(self, process):
