--- a/src/camphorhoist_sidecar/main.cc
+++ b/src/camphorhoist_sidecar/main.cc
@@ -35,7 +35,7 @@
 /// Larger buffers have mappings of their own, so that their memory is returned when they are freed.
 /// By default glibc raises this limit to the size of the largest freed buffer, and large bodies
 /// leave fragments in the heap.
-constexpr int kMaxHeapBufferBytes = 1 << 20;
+constexpr int kMaxHeapBufferBytes = 256 << 10;
 /// Free memory at the end of the heap that is kept.
 constexpr int kMaxFreeHeapBytes = 2 << 20;
 
--- a/src/libsidecar/upstream_pool.cc
+++ b/src/libsidecar/upstream_pool.cc
@@ -93,7 +93,7 @@
           }
           buffered_bytes_ += parser_.data().size();
           pool_->buffered_bytes_ += parser_.data().size();
-          outcome_.body += parser_.data();
+          AppendToBody(parser_.data());
           break;
         case ResponseParser::Step::kComplete:
           if (!mismatched_response_) return Complete();
@@ -115,6 +115,16 @@
     return size <= kMinLargeBytes || pool_->buffered_bytes_ + bytes <= kMaxBufferedBytes;
   }
 
+  // A large body of unknown length gets room for the longest one at once: memory that is not
+  // written is not resident, whereas growing by copies would need half as much again for a moment.
+  void AppendToBody(const std::string& data) {
+    const size_t size = outcome_.body.size() + data.size();
+    if (size > outcome_.body.capacity() && size > kMinLargeBytes) {
+      outcome_.body.reserve(kMaxResponseBytes);
+    }
+    outcome_.body += data;
+  }
+
   // Returns false if the exchange has ended.
   bool ProcessHead() {
     const platform::UpstreamHeaders decoded =
