--- a/src/libsidecar/upstream_pool.h
+++ b/src/libsidecar/upstream_pool.h
@@ -68,7 +68,7 @@
   /// Maximum total size of the response bodies that are being read. Beyond it, bodies of more than
   /// `kMinLargeBytes` fail.
   static constexpr size_t kMaxBufferedBytes = 24 << 20;
-  static constexpr size_t kMinLargeBytes = 1 << 20;
+  static constexpr size_t kMinLargeBytes = 256 << 10;
 
   /// Precondition: `base` outlives the pool.
   UpstreamPool(event_base* base, NetAddress upstream);
