Sidecar: abandoned calls are compared with the service time of such calls

What callers saw: a server that responds to orders and holds lookups got lookup after lookup, and each of them timed out, although another server was free.

Cause: an abandoned call counts as a failure only after three service times, and the time was the mean that the server reports. That mean rises with the age of the calls that the server holds, and with their duration when they are aborted, so the calls that hang set the measure for themselves. Whether another server was chosen all the same depended on the speed of the machine.

The test now reports where each call was: all of them at the server that holds them, so it is not the machine that delays the sound server.

Change: the measure is the mean service time of such calls over all servers that responded to them. The reported mean remains for calls of a kind that no server has responded to.

--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -156,7 +156,11 @@
   Peer* peer = directory_->Find(call.node);
   if (peer == nullptr || handles_by_offer_.count(call.offer_id) == 0) return;
   const auto waited = steady_clock::now() - call.offered_at;
-  if (waited <= kSlowOfferFactor * peer->candidate.load.service_time) return;
+  // The mean that the server reports includes the calls that it holds, so it is used only if no
+  // server has responded to such a call yet.
+  const ProxyDuration typical = estimates_.Get(call.profile).service_time;
+  const ProxyDuration expected = typical.count() > 0 ? typical : peer->candidate.load.service_time;
+  if (waited <= kSlowOfferFactor * expected) return;
   peer->failure_share.Record(steady_clock::now(), true);
 }
 
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -765,6 +765,7 @@
           if (head.find("POST") == 0) FakeUpstream::RespondOk(connection, head);
         });
     size_t unanswered = 0;
+    std::string places;
     for (int i = 0; i < 24; ++i) {
       RawClient client(mesh.at(0).settings.caller_listen);
       client.Send(RequestText("GET", "/safe/x", "id-" + std::to_string(i), ""));
@@ -773,10 +774,16 @@
         return IsComplete(client.Read()) ||
                std::chrono::steady_clock::now() - start > milliseconds(250);
       });
+      const std::string id = "id-" + std::to_string(i);
+      const auto waited = (std::chrono::steady_clock::now() - start) / milliseconds(1);
+      places += " " + std::to_string(i) +
+                (IsComplete(client.Read()) ? " answered" : " unanswered") + " after " +
+                std::to_string(waited) + " ms, at the server that holds calls " +
+                std::to_string(mesh.RequestCount(2, id)) + ";";
       if (i >= 8 && !IsComplete(client.Read())) ++unanswered;
       mesh.Call(0, "POST", "/unsafe/x", "order-" + std::to_string(i));
     }
-    CPPUNIT_ASSERT(unanswered <= 4);
+    CPPUNIT_ASSERT_MESSAGE(places, unanswered <= 4);
   }
 
   // Guards against a refusal that queues behind the large responses that cause it: callers then
--- a/src/libsidecar/testing/sidecar_mesh.cc
+++ b/src/libsidecar/testing/sidecar_mesh.cc
@@ -5,6 +5,7 @@
 #include <sys/resource.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <set>
 #include <utility>
@@ -271,12 +272,14 @@
 
 size_t SidecarMesh::RequestCount(const std::string& id) const {
   size_t count = 0;
-  for (const auto& node : nodes_) {
-    for (const std::string& head : node->upstream->request_heads()) {
-      if (FakeUpstream::RequestId(head) == id) ++count;
-    }
-  }
+  for (size_t i = 0; i < nodes_.size(); ++i) count += RequestCount(i, id);
   return count;
 }
 
+size_t SidecarMesh::RequestCount(size_t i, const std::string& id) const {
+  const std::vector<std::string>& heads = nodes_.at(i)->upstream->request_heads();
+  const auto matches = [&id](const std::string& it) { return FakeUpstream::RequestId(it) == id; };
+  return static_cast<size_t>(std::count_if(heads.begin(), heads.end(), matches));
+}
+
 }  // namespace camphorhoist
--- a/src/libsidecar/testing/sidecar_mesh.h
+++ b/src/libsidecar/testing/sidecar_mesh.h
@@ -87,6 +87,8 @@
   std::string Metrics(size_t i);
   /// Number of requests with this id that reached the upstreams.
   size_t RequestCount(const std::string& id) const;
+  /// Number of requests with this id that reached the upstream of node `i`.
+  size_t RequestCount(size_t i, const std::string& id) const;
 
  private:
   HttpResponse Fetch(const NetAddress& address, HttpRequest request);
