--- a/src/libsidecar/store_watcher_test.cc
+++ b/src/libsidecar/store_watcher_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(DeletedEntryIsRewritten);
   CPPUNIT_TEST(EntriesLostDuringStoreOutageAreRewritten);
   CPPUNIT_TEST(OddEntriesOfOtherWritersAreIgnored);
+  CPPUNIT_TEST(OddEntryNamesDoNotHideLaterEntries);
   CPPUNIT_TEST(NewVersionIsInForceAfterSilentStoreOutage);
   CPPUNIT_TEST(NewVersionIsInForceAfterShortSilentStoreOutage);
   CPPUNIT_TEST(EntriesLostDuringSilentStoreOutageAreRewritten);
@@ -28,6 +29,8 @@
   static constexpr size_t kNodes = 10;
   // Two data centres, two watchers in each, two kinds of objects.
   static constexpr size_t kWatches = 8;
+  // Calls of three sidecars that watch the store and check its revision, with a margin.
+  static constexpr uint64_t kMaxCallsPerSecond = 30;
 
   static bool HasVersion(SidecarMesh* mesh, size_t i, int version) {
     return mesh->Metrics(i).find("config_version " + std::to_string(version) + "\n") !=
@@ -143,6 +146,24 @@
     }
   }
 
+  // Guards against a list of entries that cannot be continued after the name of an entry that
+  // another writer has created, so that a restarted sidecar does not find the others.
+  void OddEntryNamesDoNotHideLaterEntries() {
+    for (const char* suffix : {" z", "&after=z", "#", "%7e", "\r\nX: y", "\xc3\xa9"}) {
+      SidecarMesh mesh(3);
+      for (size_t i = 0; i < 3; ++i) mesh.SendHeartbeat(i);
+      mesh.WaitUntilServing(0);
+      mesh.store().set_page_size(1);
+      mesh.store().Put("sidecars", std::string("node-0") + suffix, {{"address", "127.0.0.1:1"}});
+      mesh.Kill(1);
+      mesh.Start(1);
+      CPPUNIT_ASSERT_MESSAGE(suffix, mesh.Pump([&] { return mesh.Ready(1) == 200; }));
+      const uint64_t calls = mesh.store().calls();
+      mesh.PumpFor(milliseconds(1000));
+      CPPUNIT_ASSERT_MESSAGE(suffix, mesh.store().calls() < calls + kMaxCallsPerSecond);
+    }
+  }
+
   // Guards against watches that wait for a response which the store lost in an outage, while their
   // connections stay open: a version that the store acknowledged after the outage was in force up
   // to 20 s late.
