Departures: the one just recorded is kept when the list is full (DRAIN)

Cause: beyond 16 departures the one with the earliest start was dropped, which could be the one just added: after its clock was set back, or without a start time, a server that left was forgotten at once, and a late heartbeat would have put it in use again.

Evidence: DepartureLogTest::KeepsTheLastDepartureWhateverItsStart failed before (HasDeparted is false right after Record).

Change: only the other departures are dropped.

--- a/include/camphorhoist/upstream_registry.h
+++ b/include/camphorhoist/upstream_registry.h
@@ -25,8 +25,8 @@
 };
 
 /// Adds `departure` to `departures` unless it is among them. Beyond
-/// `UpstreamRegistry::kMaxDepartures`, the one with the earliest start is dropped: a delayed report
-/// is rather from a recent incarnation. Returns whether it was added.
+/// `UpstreamRegistry::kMaxDepartures`, the other one with the earliest start is dropped: a delayed
+/// report is rather from a recent incarnation. Returns whether it was added.
 bool AddDeparture(const UpstreamDeparture& departure, std::deque<UpstreamDeparture>* departures);
 
 /// Decides which incarnation of the upstream on this VM accepts calls. Reports may be delayed,
--- a/src/libproxy/departure_log_test.cc
+++ b/src/libproxy/departure_log_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(DepartureLogTest);
   CPPUNIT_TEST(TellsIncarnationsApart);
   CPPUNIT_TEST(KeepsTheNewestDepartures);
+  CPPUNIT_TEST(KeepsTheLastDepartureWhateverItsStart);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -48,6 +49,17 @@
     CPPUNIT_ASSERT(log.HasDeparted("node-1", {"i", 1}));
     CPPUNIT_ASSERT(log.HasDeparted("a", {"j", DepartureLog::kMaxNodes - 1}));
   }
+
+  // Guards against a server that gets calls after its departure because its clock was set back, so
+  // that all other departures of its VM have later starts.
+  void KeepsTheLastDepartureWhateverItsStart() {
+    DepartureLog log;
+    constexpr auto kMax = static_cast<int64_t>(UpstreamRegistry::kMaxDepartures);
+    for (int64_t started = 1; started <= kMax; ++started) log.Record("a", {"i", 1000 + started});
+    log.Record("a", {"j", 5});
+    CPPUNIT_ASSERT(log.HasDeparted("a", {"j", 5}));
+    CPPUNIT_ASSERT_EQUAL(UpstreamRegistry::kMaxDepartures, log.departures("a").size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DepartureLogTest);
--- a/src/libproxy/upstream_registry.cc
+++ b/src/libproxy/upstream_registry.cc
@@ -18,7 +18,8 @@
   }
   departures->push_back(departure);
   if (departures->size() <= UpstreamRegistry::kMaxDepartures) return true;
-  departures->erase(std::min_element(departures->begin(), departures->end(),
+  // The added one is kept whatever its start: clocks may have been set back.
+  departures->erase(std::min_element(departures->begin(), departures->end() - 1,
                                      [](const UpstreamDeparture& a, const UpstreamDeparture& b) {
                                        return a.started_ms < b.started_ms;
                                      }));
