Test: names of other nodes that are not UTF-8 are rejected

Cause: the postmortem of the unreadable instance id suspected that the dump of camphorhoistd, whose encoder is strict, can be ended by names that other nodes send.

Result: it cannot by datagrams. The decoder accepts printable ASCII only; the test shows it for each name of a message and passes without a change of the code.

--- a/src/libmember/codec_test.cc
+++ b/src/libmember/codec_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(CodecTest);
   CPPUNIT_TEST(MessagesRoundTrip);
   CPPUNIT_TEST(RejectsInvalidFields);
+  CPPUNIT_TEST(RejectsNamesThatAreNotUtf8);
   CPPUNIT_TEST(RejectsTrailingBytes);
   CPPUNIT_TEST(HandlesCorruptedBytes);
   CPPUNIT_TEST_SUITE_END();
@@ -86,6 +87,31 @@
     }
   }
 
+  // Guards against names of other nodes that the dump cannot encode as JSON, which would end the
+  // process.
+  void RejectsNamesThatAreNotUtf8() {
+    const std::string name = "abcdefgh";
+    const std::vector<std::function<void(MemberMessage*)>> places = {
+        [&](MemberMessage* m) { m->mesh = name; },
+        [&](MemberMessage* m) { m->sender_data_centre = name; },
+        [&](MemberMessage* m) { m->updates[0].entry.data_centre = name; },
+        [&](MemberMessage* m) { m->updates[0].entry.region = name; },
+        [&](MemberMessage* m) { m->updates[0].entry.endpoints[0].service = name; },
+    };
+    std::error_code ec;
+    for (const auto& place : places) {
+      MemberMessage message = ValidMessage();
+      place(&message);
+      std::string bytes = EncodeMemberMessage(message, &ec);
+      CPPUNIT_ASSERT(DecodeMemberMessage(bytes, &ec).has_value());
+      const size_t at = bytes.find(name);
+      CPPUNIT_ASSERT(at != std::string::npos);
+      bytes[at + name.size() - 1] = '\xc3';
+      CPPUNIT_ASSERT(!DecodeMemberMessage(bytes, &ec));
+      CPPUNIT_ASSERT(ec == Errc::kInvalidInput);
+    }
+  }
+
   // Guards against a datagram whose trailing bytes are ignored, as with two concatenated messages
   // or a wrong length.
   void RejectsTrailingBytes() {
