Load tool: the report counts the reasons of calls without an answer

Change: the report has the number of requests by outcome and reason, as nodes state it in their responses.

--- a/src/camphorhoist_load/generator.cc
+++ b/src/camphorhoist_load/generator.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "camphorhoist_load/body_check.h"
@@ -33,6 +34,16 @@
          "-";
 }
 
+/// The body of an outcome is short; other bodies have no reason.
+constexpr size_t kMaxReasonBytes = 1024;
+
+std::string ReadReason(const std::string& body) {
+  const nlohmann::json outcome = nlohmann::json::parse(body, nullptr, false);
+  if (!outcome.is_object()) return {};
+  const auto it = outcome.find("reason");
+  return it != outcome.end() && it->is_string() ? it->get<std::string>() : std::string();
+}
+
 }  // namespace
 
 class Generator::Request : public ResponseSink {
@@ -48,10 +59,15 @@
     result_.outcome = FindHeader(headers, kOutcomeHeader).value_or("-");
     body_check_.OnHead(status, headers);
   }
-  void OnData(std::string data) override { body_check_.OnData(data); }
+  void OnData(std::string data) override {
+    body_check_.OnData(data);
+    const bool has_reason = !result_.Answered() && body_.size() < kMaxReasonBytes;
+    if (has_reason) body_ += data;
+  }
   void OnEnd(UpstreamResult result, const std::string&) override {
     if (result == UpstreamResult::kWhole) {
       result_.mismatch = body_check_.Finish(result_.Answered());
+      result_.reason = ReadReason(body_);
     } else {
       result_.status = 0;
       result_.outcome = ToString(result);
@@ -70,6 +86,8 @@
   microseconds scheduled_;
   RequestResult result_;
   BodyCheck body_check_;
+  /// Start of the body of a response that is no answer.
+  std::string body_;
 };
 
 Generator::Generator(event_base* base, const LoadSettings& settings, std::function<void()> done)
--- a/src/camphorhoist_load/load_test.cc
+++ b/src/camphorhoist_load/load_test.cc
@@ -143,6 +143,7 @@
       results.back().latency = std::chrono::milliseconds(i);
     }
     results.push_back(MakeResult("GET", "not-run", 503));
+    results.back().reason = "queue-full";
     results.back().latency = std::chrono::milliseconds(5000);
     const LoadReport report = Summarize(settings, results, std::chrono::seconds(1));
     CPPUNIT_ASSERT_EQUAL(size_t{1001}, report.total.requests);
@@ -153,6 +154,8 @@
     CPPUNIT_ASSERT_EQUAL(999.0, report.total.p999_ms);
     CPPUNIT_ASSERT_EQUAL(1000.0, report.total.max_ms);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, report.total.outcomes.at("not-run 503"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, report.total.reasons.at("not-run queue-full"));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, report.total.reasons.size());
   }
 
   // Guards against a run with another mix than the one specified.
--- a/src/camphorhoist_load/report.cc
+++ b/src/camphorhoist_load/report.cc
@@ -42,6 +42,7 @@
     if (!belongs(it)) continue;
     ++group.requests;
     ++group.outcomes[it.outcome + " " + std::to_string(it.status)];
+    if (!it.reason.empty()) ++group.reasons[it.outcome + " " + it.reason];
     if (it.Answered()) latencies.push_back(it.latency);
   }
   group.answered = latencies.size();
@@ -67,7 +68,8 @@
   json object = {{"name", group.name},
                  {"requests", group.requests},
                  {"answered", group.answered},
-                 {"outcomes", group.outcomes}};
+                 {"outcomes", group.outcomes},
+                 {"reasons", group.reasons}};
   for (const Quantile& it : kQuantiles) object[it.name] = group.*it.member;
   return object;
 }
@@ -115,6 +117,9 @@
   for (const auto& it : report.total.outcomes) {
     out << "outcome " << it.first << ": " << it.second << "\n";
   }
+  for (const auto& it : report.total.reasons) {
+    out << "reason " << it.first << ": " << it.second << "\n";
+  }
   for (const std::string& it : report.mismatches) out << "wrong response " << it << "\n";
 }
 
--- a/src/camphorhoist_load/report.h
+++ b/src/camphorhoist_load/report.h
@@ -20,6 +20,9 @@
   size_t answered = 0;
   /// Number of requests by outcome and status, with keys such as "answered 200".
   std::map<std::string, size_t> outcomes;
+  /// Number of requests without an answer by outcome and reason, with keys such as
+  /// "not-run queue-full".
+  std::map<std::string, size_t> reasons;
   /// Latencies of the answered requests, measured from the scheduled start; 0 if there are none.
   double p50_ms = 0;
   double p90_ms = 0;
--- a/src/camphorhoist_load/result.h
+++ b/src/camphorhoist_load/result.h
@@ -19,6 +19,8 @@
   /// reason for a missing or incomplete response: "never-sent", "no-whole-answer", "timed-out",
   /// "shed", "dropped" or "unfinished".
   std::string outcome;
+  /// Reason that a node states in its response to a call without an answer; may be empty.
+  std::string reason;
   /// HTTP status; 0 if there was no complete response.
   int status = 0;
   /// From the scheduled start to the end of the response.
