Soak: a violated time bound states how long processes waited for a CPU

Change: the soak samples the time that each process was ready to run without a CPU, and how long it stood still itself. The checks and bounds are the same.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -399,6 +399,50 @@
             await self.start_process()
 
 
+def cpu_wait(pid):
+    """Returns the time in s for which a process was ready to run and had no CPU, or None."""
+    try:
+        with open(f"/proc/{pid}/schedstat") as stat:
+            return int(stat.read().split()[1]) / 1e9
+    except (OSError, IndexError):
+        return None
+
+
+class CpuWaits:
+    """Records how long the processes of a run wait for a CPU, so that a violated time bound can be
+    told from a machine that has no time for them."""
+
+    INTERVAL_S = 0.2
+
+    def __init__(self):
+        self.samples = []  # (time, {name: total wait in s})
+
+    async def run(self, soak):
+        while not soak.finished:
+            pids = {"soak": os.getpid()}
+            pids.update((it.name, it.process.pid) for it in soak.nodes if it.process is not None)
+            waits = {name: cpu_wait(pid) for name, pid in pids.items()}
+            self.samples.append((time.monotonic(), waits))
+            await asyncio.sleep(self.INTERVAL_S)
+
+    def since(self, start):
+        """Describes the waits since `start`, the longest first."""
+        samples = [waits for at, waits in self.samples if at >= start - self.INTERVAL_S]
+        if not samples:
+            return "CPU waits unknown"
+        waited = {}
+        for name in samples[-1]:
+            totals = [it[name] for it in samples if it.get(name) is not None]
+            if totals:
+                # The total starts anew with each process.
+                waited[name] = sum(max(0.0, b - a) for a, b in zip(totals, totals[1:]))
+        longest = sorted(waited.items(), key=lambda it: -it[1])[:4]
+        times = [at for at, _ in self.samples if at >= start - self.INTERVAL_S]
+        stall = max((b - a for a, b in zip(times, times[1:])), default=0.0) - self.INTERVAL_S
+        return ("CPU waits " + ", ".join(f"{name} {seconds:.2f} s" for name, seconds in longest)
+                + f"; the soak stood still for {max(stall, 0.0):.2f} s")
+
+
 class Soak:
     """One run: starts the processes, injects the faults and collects the violations."""
 
@@ -412,6 +456,7 @@
         self.violations, self.tasks, self.finished = [], set(), False
         self.runs, self.refused, self.results, self.unsafe = {}, {}, [], []
         self.disturbed_until, self.faults_until = 0.0, 0.0
+        self.cpu_waits = CpuWaits()
         self.next_id, self.version, self.extra_routes = 0, 1, 0
 
     def add_violation(self, check, text):
@@ -463,7 +508,8 @@
                     connection = None
         except asyncio.TimeoutError:
             if time.monotonic() > max(node.disturbed_until, self.disturbed_until):
-                self.add_violation("hang", f"{request_id} at {node.name}, begun {start:.2f}")
+                self.add_violation("hang", f"{request_id} at {node.name}, begun {start:.2f}, "
+                                           + self.cpu_waits.since(start))
             connection = None
         except (OSError, asyncio.IncompleteReadError):
             connection = None  # aborted by a relay, or the process has exited
@@ -623,6 +669,7 @@
         for node in self.nodes:
             await node.start()
             self.spawn(node.upstream.send_heartbeats(node))
+        self.spawn(self.cpu_waits.run(self))
         await asyncio.sleep(3)
         for node in self.nodes:
             for _ in range(4):
@@ -637,7 +684,8 @@
         recent = [status for start, _, status in self.results if start >= recovered_at]
         served = sum(status == 200 for status in recent)
         if served < 0.95 * len(recent):
-            self.add_violation("recover", f"{served} of {len(recent)} requests are served at the end")
+            self.add_violation("recover", f"{served} of {len(recent)} requests are served at the end, "
+                               + self.cpu_waits.since(recovered_at))
         await asyncio.sleep(TIMEOUT_S + HANG_SLACK_S)
         for node in self.nodes:
             node.exit_expected = True
