Soak: number of callers and their pauses can be set

Cause: with many processes the load of four callers each, in one interpreter, is more than a machine has.

Change: options for the callers of each node and their mean pause; a connection that was idle for longer is not reused. The defaults, the bounds and the checks are the same.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -39,6 +39,8 @@
 DRAIN_BOUND_S = 2.0           # platform's documented bound after the acknowledgement of a leave
 CONFIG_BOUND_S = 2.5          # platform's documented bound for a new configuration, plus slack
 CONTACT_S = 3.0               # time for which a disturbed link may still delay requests
+IDLE_TIMEOUT_S = 5            # of the configuration
+MAX_IDLE_S = 0.8 * IDLE_TIMEOUT_S  # longest time for which the platform's callers reuse a connection
 RECOVERY_S = 4.0              # time after a fault until the bounds hold again
 GRACE_PERIOD_S = 6.0
 SIGNAL_HANDLER_READY_S = 0.3  # programs take some tens of ms to load
@@ -449,6 +451,7 @@
     def __init__(self, options):
         self.seed = options.seed
         self.seconds, self.node_count = options.seconds, options.nodes
+        self.callers, self.pause_s = options.callers, options.pause
         self.rng = random.Random(options.seed)
         self.directory = tempfile.mkdtemp(prefix="soak-")
         # Run a copy, so that a concurrent build cannot replace the program during the test.
@@ -479,7 +482,7 @@
             "services": {"columns": ["name", "healthPath", "maxConns"],
                          "rows": [["s", "/healthz", 110]]},
             "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 100000, "headerTimeoutS": 2,
-                       "idleTimeoutS": 5}})
+                       "idleTimeoutS": IDLE_TIMEOUT_S}})
 
     async def call(self, node, connection, path, method):
         """Sends one request. Returns (status or None, connection to reuse or None)."""
@@ -528,7 +531,11 @@
         while not self.finished:
             path, method = self.rng.choices(kinds, (6, 4, 1))[0]
             _, connection = await self.call(node, connection, path, method)
-            await asyncio.sleep(self.rng.expovariate(1 / 0.05))
+            pause = self.rng.expovariate(1 / self.pause_s)
+            await asyncio.sleep(pause)
+            if connection is not None and pause > MAX_IDLE_S:
+                connection[1].close()
+                connection = None
 
     async def change_config(self):
         """Adds a route and checks that every node without a recent fault knows it in time."""
@@ -672,7 +679,7 @@
         self.spawn(self.cpu_waits.run(self))
         await asyncio.sleep(3)
         for node in self.nodes:
-            for _ in range(4):
+            for _ in range(self.callers):
                 self.spawn(self.run_caller(node))
         await asyncio.sleep(1)
         await self.inject()
@@ -710,6 +717,9 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20, help="time in which faults are injected")
     parser.add_argument("--nodes", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=4, help="callers of each node")
+    parser.add_argument("--pause", type=float, default=0.05,
+                        help="mean time in s between the requests of a caller")
     options = parser.parse_args()
     soak = Soak(options)
     statuses = asyncio.run(soak.run())
