Test: requests of callers that have left are not sent on

Two explanations are a sidecar without time to read, beside the caller or beside the server.

Change: a test of both. Eight requests and the ends of their connections, or eight offers and their cancellations, arrive together.

--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(DrainPersistsAcrossSidecarRestart);
   CPPUNIT_TEST(DepartedServerStaysUnusedAfterRestartWithoutStore);
   CPPUNIT_TEST(ReportWithUnreadableInstanceIdIsRejected);
+  CPPUNIT_TEST(RequestsOfCallersThatHaveLeftAreNotSentOn);
   CPPUNIT_TEST(KilledSidecarIsSkippedAndRejoins);
   CPPUNIT_TEST(SilentPeerConnectionsAreReplaced);
   CPPUNIT_TEST(RejectsOversizedAndMalformedRequests);
@@ -580,6 +581,51 @@
     }));
   }
 
+  // Guards against requests that reach a server long after their callers have left, because the
+  // sidecar had no time to read them before.
+  void RequestsOfCallersThatHaveLeftAreNotSentOn() {
+    SidecarMesh mesh(3);
+    mesh.SendHeartbeat(1);
+    mesh.WaitUntilServing(0);
+    for (size_t sender : {0, 1}) {
+      std::vector<std::unique_ptr<RawClient>> callers;
+      for (size_t n = 0; n < 8; ++n) {
+        callers.push_back(std::make_unique<RawClient>(mesh.at(sender).settings.caller_listen));
+      }
+      mesh.PumpFor(milliseconds(100));
+      for (std::unique_ptr<RawClient>& it : callers) {
+        it->Send(RequestText("GET", "/safe/x", "left", ""));
+        it->Close();
+      }
+      mesh.PumpFor(milliseconds(500));
+      CPPUNIT_ASSERT_EQUAL(size_t{0}, mesh.RequestCount("left"));
+    }
+    // The same if the sidecar beside the server had no time to read.
+    EvbufferPtr bytes(evbuffer_new());
+    std::vector<CallId> ids;
+    for (uint64_t n = 0; n < 8; ++n) {
+      CallOffer offer;
+      offer.id = CallId(1, n);
+      offer.service = "s";
+      offer.request_id = "left";
+      offer.headers = {{"X-Request-Id", "left"}};
+      offer.method = "GET";
+      offer.target = "/safe/x";
+      offer.time_left = offer.objective_left = offer.max_wait = std::chrono::seconds(1);
+      offer.idempotent = true;
+      ids.push_back(offer.id);
+      AppendFrame(std::move(offer), bytes.get());
+    }
+    for (const CallId& it : ids) AppendFrame(CallCancel{it}, bytes.get());
+    std::string text(evbuffer_get_length(bytes.get()), '\0');
+    evbuffer_remove(bytes.get(), text.data(), text.size());
+    RawClient peer(mesh.at(1).settings.peer_listen);
+    mesh.PumpFor(milliseconds(100));
+    peer.Send(text);
+    mesh.PumpFor(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, mesh.RequestCount("left"));
+  }
+
   // Guards against calls to a killed sidecar, and against a restarted one that is not found again.
   void KilledSidecarIsSkippedAndRejoins() {
     SidecarMesh mesh(3);
