Sidecar: queueing calls that are abandoned do not count against their server

Cause: compared an abandoned call with the mean service time of such calls. Above capacity a call waits for longer than three of them in the queue of a sound server, so sound servers were taken for failing ones.

Change: the mean that the server reports is the measure again, but only up to 20 times the mean of such calls (ServerQueue::kMaxRelativeServiceTime): beyond that it is made by the calls that the server holds.

--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -156,10 +156,15 @@
   Peer* peer = directory_->Find(call.node);
   if (peer == nullptr || handles_by_offer_.count(call.offer_id) == 0) return;
   const auto waited = steady_clock::now() - call.offered_at;
-  // The mean that the server reports includes the calls that it holds, so it is used only if no
-  // server has responded to such a call yet.
+  // The mean that the server reports includes the calls that it holds, so it is believed only as
+  // far as servers differ for such calls.
+  ProxyDuration expected = peer->candidate.load.service_time;
   const ProxyDuration typical = estimates_.Get(call.profile).service_time;
-  const ProxyDuration expected = typical.count() > 0 ? typical : peer->candidate.load.service_time;
+  if (typical.count() > 0) {
+    const auto longest =
+        ServerQueue::kMaxRelativeServiceTime * static_cast<double>(typical.count());
+    expected = std::min(expected, ProxyDuration(static_cast<int64_t>(longest)));
+  }
   if (waited <= kSlowOfferFactor * expected) return;
   peer->failure_share.Record(steady_clock::now(), true);
 }
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -56,7 +56,7 @@
   /// A call with less time left is not retried, since the retry would not complete in time.
   static constexpr std::chrono::milliseconds kMinRetryTime{20};
   /// An offer that the caller abandons, or that expires, after more than this many service times of
-  /// such calls counts as failed. A server that holds calls until their callers disconnect returns
+  /// the server counts as failed. A server that holds calls until their callers disconnect returns
   /// no results that would count against it.
   static constexpr int kSlowOfferFactor = 3;
   /// Timeout assumed for a call while this sidecar has no configuration.
