Test of odd entry names: ends if the list does not

Cause: before the fix of the test did not fail but ran on without end, and used 5.5 GB: client and store keep the event loop busy, and it does not return to the test.

Change: the store of the tests does not respond beyond a number of calls.

--- a/src/libsidecar/store_watcher_test.cc
+++ b/src/libsidecar/store_watcher_test.cc
@@ -154,6 +154,7 @@
       for (size_t i = 0; i < 3; ++i) mesh.SendHeartbeat(i);
       mesh.WaitUntilServing(0);
       mesh.store().set_page_size(1);
+      mesh.store().set_max_calls(mesh.store().calls() + 1000);
       mesh.store().Put("sidecars", std::string("node-0") + suffix, {{"address", "127.0.0.1:1"}});
       mesh.Kill(1);
       mesh.Start(1);
--- a/src/libsidecar/testing/fake_store.cc
+++ b/src/libsidecar/testing/fake_store.cc
@@ -61,7 +61,7 @@
 
 void FakeStore::Handle(evhttp_request* req) {
   if (fault_ == Fault::kUnresponsive) return;
-  ++calls_;
+  if (++calls_ > max_calls_) return;
   if (fault_ == Fault::kBusy) return Reply(req, {kServiceUnavailable, nullptr});
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(req);
   const std::string path = evhttp_uri_get_path(uri);
--- a/src/libsidecar/testing/fake_store.h
+++ b/src/libsidecar/testing/fake_store.h
@@ -42,6 +42,9 @@
   const NetAddress& address() const { return address_; }
   void set_fault(Fault fault);
   void set_page_size(size_t size) { page_size_ = size; }
+  /// Calls beyond this number since the start get no response. A client that calls without end
+  /// would keep the event loop from returning to the test.
+  void set_max_calls(uint64_t max) { max_calls_ = max; }
   /// Writes or deletes an object as another client would.
   void Put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
   void Delete(const std::string& kind, const std::string& name);
@@ -95,6 +98,7 @@
   int64_t revision_ = 10;
   int64_t history_start_ = 10;
   uint64_t calls_ = 0;
+  uint64_t max_calls_ = UINT64_MAX;
   std::map<std::string, std::map<std::string, nlohmann::json>> kinds_;
   std::deque<Event> history_;
   std::list<Watch> watches_;
