--- a/src/libsidecar/caller_connection.cc
+++ b/src/libsidecar/callers/caller_connection.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/caller_connection.h"
+#include "libsidecar/callers/caller_connection.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/libsidecar/caller_connection.h
+++ b/src/libsidecar/callers/caller_connection.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "libbase/event_ptr.h"
-#include "libsidecar/caller_listener.h"
+#include "libsidecar/callers/caller_listener.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/caller_listener.cc
+++ b/src/libsidecar/callers/caller_listener.cc
@@ -1,8 +1,8 @@
-#include "libsidecar/caller_listener.h"
+#include "libsidecar/callers/caller_listener.h"
 
 #include <utility>
 
-#include "libsidecar/caller_connection.h"
+#include "libsidecar/callers/caller_connection.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/caller_listener.h
+++ b/src/libsidecar/callers/caller_listener.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "libsidecar/dispatcher.h"
-#include "libsidecar/link_pacer.h"
-#include "libsidecar/peer_listener.h"
+#include "libsidecar/peers/link_pacer.h"
+#include "libsidecar/peers/peer_listener.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -16,8 +16,8 @@
 #include "camphorhoist/server_picker.h"
 #include "camphorhoist/sidecar_settings.h"
 #include "libbase/mailbox.h"
-#include "libsidecar/local_upstream.h"
-#include "libsidecar/peer_directory.h"
+#include "libsidecar/peers/peer_directory.h"
+#include "libsidecar/servers/local_upstream.h"
 #include "libsidecar/sidecar_metrics.h"
 
 namespace camphorhoist {
--- a/src/libsidecar/frame_stream.cc
+++ b/src/libsidecar/peers/frame_stream.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/frame_stream.h"
+#include "libsidecar/peers/frame_stream.h"
 
 #include <cerrno>
 #include <cstring>
--- a/src/libsidecar/frame_stream.h
+++ b/src/libsidecar/peers/frame_stream.h
@@ -7,7 +7,7 @@
 
 #include "camphorhoist/net_address.h"
 #include "libbase/event_ptr.h"
-#include "libsidecar/peer_messages.h"
+#include "libsidecar/peers/peer_messages.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/link_pacer.cc
+++ b/src/libsidecar/peers/link_pacer.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/link_pacer.h"
+#include "libsidecar/peers/link_pacer.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libsidecar/link_pacer_test.cc
+++ b/src/libsidecar/peers/link_pacer_test.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/link_pacer.h"
+#include "libsidecar/peers/link_pacer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -9,8 +9,8 @@
 
 #include "libbase/precise_event_base.h"
 #include "libcaller/testing/raw_peer.h"
-#include "libsidecar/peer_link.h"
-#include "libsidecar/peer_listener.h"
+#include "libsidecar/peers/peer_link.h"
+#include "libsidecar/peers/peer_listener.h"
 #include "libsidecar/testing/sidecar_mesh.h"
 
 namespace camphorhoist {
--- a/src/libsidecar/peer_directory.cc
+++ b/src/libsidecar/peers/peer_directory.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/peer_directory.h"
+#include "libsidecar/peers/peer_directory.h"
 
 #include <utility>
 
--- a/src/libsidecar/peer_directory.h
+++ b/src/libsidecar/peers/peer_directory.h
@@ -12,7 +12,7 @@
 #include "camphorhoist/failure_share.h"
 #include "camphorhoist/net_address.h"
 #include "camphorhoist/server_picker.h"
-#include "libsidecar/peer_link.h"
+#include "libsidecar/peers/peer_link.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/peer_link.cc
+++ b/src/libsidecar/peers/peer_link.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/peer_link.h"
+#include "libsidecar/peers/peer_link.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libsidecar/peer_link.h
+++ b/src/libsidecar/peers/peer_link.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 
 #include "camphorhoist/net_address.h"
-#include "libsidecar/frame_stream.h"
+#include "libsidecar/peers/frame_stream.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/peer_listener.cc
+++ b/src/libsidecar/peers/peer_listener.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/peer_listener.h"
+#include "libsidecar/peers/peer_listener.h"
 
 #include <algorithm>
 #include <cerrno>
--- a/src/libsidecar/peer_listener.h
+++ b/src/libsidecar/peers/peer_listener.h
@@ -12,9 +12,9 @@
 #include <system_error>
 
 #include "camphorhoist/net_address.h"
-#include "libsidecar/frame_stream.h"
-#include "libsidecar/link_pacer.h"
-#include "libsidecar/local_upstream.h"
+#include "libsidecar/peers/frame_stream.h"
+#include "libsidecar/peers/link_pacer.h"
+#include "libsidecar/servers/local_upstream.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/peer_messages.cc
+++ b/src/libsidecar/peers/peer_messages.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/peer_messages.h"
+#include "libsidecar/peers/peer_messages.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -10,7 +10,7 @@
 #include <cstring>
 #include <utility>
 
-#include "libsidecar/peer.capnp.h"
+#include "libsidecar/peers/peer.capnp.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/local_upstream.cc
+++ b/src/libsidecar/servers/local_upstream.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/local_upstream.h"
+#include "libsidecar/servers/local_upstream.h"
 
 #include <algorithm>
 #include <vector>
--- a/src/libsidecar/local_upstream.h
+++ b/src/libsidecar/servers/local_upstream.h
@@ -16,8 +16,8 @@
 #include "camphorhoist/server_queue.h"
 #include "camphorhoist/sidecar_settings.h"
 #include "camphorhoist/upstream_registry.h"
-#include "libsidecar/peer_messages.h"
-#include "libsidecar/upstream_pool.h"
+#include "libsidecar/peers/peer_messages.h"
+#include "libsidecar/servers/upstream_pool.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/local_upstream_test.cc
+++ b/src/libsidecar/servers/local_upstream_test.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/local_upstream.h"
+#include "libsidecar/servers/local_upstream.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "libsidecar/peer_directory.h"
+#include "libsidecar/peers/peer_directory.h"
 #include "libsidecar/testing/sidecar_mesh.h"
 
 namespace camphorhoist {
--- a/src/libsidecar/upstream_pool.cc
+++ b/src/libsidecar/servers/upstream_pool.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/upstream_pool.h"
+#include "libsidecar/servers/upstream_pool.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libsidecar/upstream_pool.h
+++ b/src/libsidecar/servers/upstream_pool.h
@@ -13,7 +13,7 @@
 #include "camphorhoist/server_queue.h"
 #include "libbase/event_ptr.h"
 #include "libbase/http_client.h"
-#include "libsidecar/peer_messages.h"
+#include "libsidecar/peers/peer_messages.h"
 #include "platform/message_headers.h"
 
 namespace camphorhoist {
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -9,15 +9,15 @@
 #include "camphorhoist/finding.h"
 #include "camphorhoist/sidecar_settings.h"
 #include "libbase/event_ptr.h"
-#include "libsidecar/caller_listener.h"
+#include "libsidecar/callers/caller_listener.h"
 #include "libsidecar/control_server.h"
 #include "libsidecar/dispatcher.h"
-#include "libsidecar/link_pacer.h"
-#include "libsidecar/local_upstream.h"
-#include "libsidecar/peer_directory.h"
-#include "libsidecar/peer_listener.h"
+#include "libsidecar/peers/link_pacer.h"
+#include "libsidecar/peers/peer_directory.h"
+#include "libsidecar/peers/peer_listener.h"
+#include "libsidecar/servers/local_upstream.h"
 #include "libsidecar/sidecar_metrics.h"
-#include "libsidecar/store_sync.h"
+#include "libsidecar/store/store_sync.h"
 
 namespace camphorhoist {
 
--- a/src/libsidecar/store_sync.cc
+++ b/src/libsidecar/store/store_sync.cc
@@ -1,4 +1,4 @@
-#include "libsidecar/store_sync.h"
+#include "libsidecar/store/store_sync.h"
 
 #include <algorithm>
 #include <utility>
