Response parser: a status above 599 is malformed

A server in trouble sent statuses that HTTP does not define, and 600 to 999 were passed on to the caller. Such a response now gets 502. Status 000 and field names with blanks or control bytes already did; ResponseParserTest::RejectsStatusesAndFieldNamesThatAreNotHttp guards all of them.

--- a/src/libupstream/response_parser.cc
+++ b/src/libupstream/response_parser.cc
@@ -93,7 +93,9 @@
   const bool known_version = line.rfind("HTTP/1.1 ", 0) == 0 || line.rfind("HTTP/1.0 ", 0) == 0;
   const bool has_status = line.size() >= 12 && std::all_of(&line[9], &line[12], IsDigit) &&
                           (line.size() == 12 || line[12] == ' ');
-  if (!known_version || !has_status || line[9] == '0') return Fail("the status line is malformed");
+  if (!known_version || !has_status || line[9] < '1' || line[9] > '5') {
+    return Fail("the status line is malformed");
+  }
   http_1_1_ = line[7] == '1';
   status_ = std::atoi(line.substr(9, 3).c_str());
   head_bytes_ += line.size();
--- a/src/libupstream/response_parser_test.cc
+++ b/src/libupstream/response_parser_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST_SUITE(ResponseParserTest);
   CPPUNIT_TEST(ParsesResponsesInPiecesOfAnySize);
   CPPUNIT_TEST(RejectsResponsesWithAmbiguousFraming);
+  CPPUNIT_TEST(RejectsStatusesAndFieldNamesThatAreNotHttp);
   CPPUNIT_TEST(LimitsHeadSize);
   CPPUNIT_TEST(HeadsWithoutEndAreRejected);
   CPPUNIT_TEST_SUITE_END();
@@ -135,6 +136,37 @@
     }
   }
 
+  // Guards against passing on a status or a field name that the caller's parser rejects or reads
+  // differently.
+  void RejectsStatusesAndFieldNamesThatAreNotHttp() {
+    const std::string rest = "Content-Length: 1\r\n\r\na";
+    for (const char* status :
+         {"000", "099", "600", "700", "999", "+20", "-20", "2 0", "1000", "20a"}) {
+      const Parsed parsed = Parse("HTTP/1.1 " + std::string(status) + " X\r\n" + rest, 999, false);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, std::string("the status line is malformed"),
+                                   parsed.outcome);
+      CPPUNIT_ASSERT_MESSAGE(status, !parsed.keep_alive);
+    }
+    for (const int status : {200, 299, 418, 599}) {
+      const Parsed parsed =
+          Parse("HTTP/1.1 " + std::to_string(status) + " X\r\n" + rest, 999, false);
+      CPPUNIT_ASSERT_EQUAL(std::string("whole"), parsed.outcome);
+      CPPUNIT_ASSERT_EQUAL(status, parsed.status);
+    }
+    const std::string nul("X\0Y", 3);
+    for (const std::string& name :
+         {std::string("X Y"), std::string("X "), std::string(" X"), std::string("\tX"),
+          std::string("X\tY"), std::string(), nul, std::string("X\x01"), std::string("X\x7f"),
+          std::string("X\rY"), std::string("X(Y)"), std::string("X/Y"), std::string("\"X\""),
+          std::string("X\xc3\xa9"), std::string("X@"), std::string("X,Y")}) {
+      std::string text = "HTTP/1.1 200 OK\r\n";
+      text.append(name).append(": v\r\n").append(rest);
+      const Parsed parsed = Parse(text, 999, false);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string("a header line is malformed"), parsed.outcome);
+      CPPUNIT_ASSERT_MESSAGE(name, !parsed.keep_alive);
+    }
+  }
+
   // Guards against unbounded memory use for an endless response head.
   void LimitsHeadSize() {
     const std::string line = "A: " + std::string(1000, 'a') + "\r\n";
