Upstream pool: a partial response without a length is not complete (MIXED)

A server answers a long upload at once with a 200 without a length, sends part of the body and resets the connection while the upload is being written. The caller got the part as a complete response. libevent may report the write error and the end of the stream in one callback, and only the end was checked; a half-close in the middle of the upload was taken for the regular end, too.

The end of the stream now completes such a response only without an error, and after the kernel of the server has acknowledged the whole request. The HTTP client does not have the fault.

--- a/src/libbase/base_test.cc
+++ b/src/libbase/base_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <csignal>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "libbase/http_client.h"
 #include "libbase/mailbox.h"
 #include "libbase/precise_event_base.h"
+#include "libcaller/testing/raw_peer.h"
 
 namespace camphorhoist {
 namespace {
@@ -31,6 +33,7 @@
   CPPUNIT_TEST(TimerWithNegativeDelayFiresImmediately);
   CPPUNIT_TEST(MailboxDoesNotDeliverInsidePost);
   CPPUNIT_TEST(HttpClientDistinguishesUnavailableFromUnknownEffect);
+  CPPUNIT_TEST(HttpClientRejectsPartialResponseToCutOffRequest);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -118,6 +121,71 @@
     CPPUNIT_ASSERT(Fetch(base.get(), &client, address, "/ok").error == Errc::kUnavailable);
   }
 
+  // Guards against a partial response without a length that is taken for a complete one, because
+  // the server resets or ends the connection while the request is being written.
+  void HttpClientRejectsPartialResponseToCutOffRequest() {
+    std::signal(SIGPIPE, SIG_IGN);
+    const EventBasePtr base(event_base_new());
+    const std::string text = "HTTP/1.1 200 OK\r\n\r\n" + std::string(100, 'r');
+    bool reset = false;
+    bool whole_request = false;
+    constexpr size_t kBodyBytes = 12'000'000;
+    std::unique_ptr<RawServer> server;
+    const auto respond = [&](RawServer::Connection* connection) {
+      const int fd = bufferevent_getfd(connection->bufev.get());
+      bufferevent_disable(connection->bufev.get(), EV_READ);
+      send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+      if (!reset) shutdown(fd, SHUT_WR);
+    };
+    server = std::make_unique<RawServer>(base.get(), [&](size_t number) {
+      if (!whole_request) respond(&server->at(number));
+    });
+    HttpClient client(base.get());
+    for (const bool cut_off : {true, false}) {
+      for (const bool with_reset : {true, false}) {
+        reset = with_reset;
+        whole_request = !cut_off;
+        HttpRequest request;
+        request.method = "POST";
+        request.body.assign(kBodyBytes, 'u');
+        HttpResponse response;
+        bool done = false;
+        client.Send(server->address(), std::move(request), std::chrono::seconds(5),
+                    [&](HttpResponse it) {
+                      response = std::move(it);
+                      done = true;
+                    });
+        const size_t number = server->size();
+        if (whole_request) {
+          CPPUNIT_ASSERT(PumpUntil(base.get(), [&] {
+            return server->size() > number && server->at(number).received.size() >= kBodyBytes &&
+                   server->at(number).received.find("\r\n\r\n") + 4 + kBodyBytes ==
+                       server->at(number).received.size();
+          }));
+          respond(&server->at(number));
+        }
+        const auto start = std::chrono::steady_clock::now();
+        PumpUntil(base.get(), [&] {
+          return std::chrono::steady_clock::now() - start > std::chrono::milliseconds(50);
+        });
+        if (reset) {
+          const linger reset_on_close{1, 0};
+          setsockopt(bufferevent_getfd(server->at(number).bufev.get()), SOL_SOCKET, SO_LINGER,
+                     &reset_on_close, sizeof(reset_on_close));
+          server->at(number).Close();
+        }
+        CPPUNIT_ASSERT(PumpUntil(base.get(), [&] { return done; }));
+        if (cut_off || reset) {
+          CPPUNIT_ASSERT_EQUAL(0, response.status);
+          CPPUNIT_ASSERT(response.error == Errc::kUnknownEffect);
+        } else {
+          CPPUNIT_ASSERT_EQUAL(200, response.status);
+          CPPUNIT_ASSERT_EQUAL(size_t{100}, response.body.size());
+        }
+      }
+    }
+  }
+
  private:
   static uint16_t PortOf(evutil_socket_t fd) {
     sockaddr_in name{};
--- a/src/libbase/socket_options.cc
+++ b/src/libbase/socket_options.cc
@@ -1,7 +1,9 @@
 #include "libbase/socket_options.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace camphorhoist {
@@ -25,4 +27,10 @@
   SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kMaxProbes);
 }
 
+size_t UnacknowledgedBytes(int fd) {
+  int bytes = 0;
+  if (ioctl(fd, SIOCOUTQ, &bytes) != 0 || bytes < 0) return 0;
+  return static_cast<size_t>(bytes);
+}
+
 }  // namespace camphorhoist
--- a/src/libbase/socket_options.h
+++ b/src/libbase/socket_options.h
@@ -2,6 +2,7 @@
 #define CAMPHORHOIST_LIBBASE_SOCKET_OPTIONS_H_
 
 #include <chrono>
+#include <cstddef>
 
 namespace camphorhoist {
 
@@ -13,6 +14,12 @@
 /// Thread safety: safe to call from any thread.
 void TuneSocket(int fd, std::chrono::milliseconds unacked_timeout);
 
+/// Returns the number of bytes written to a TCP socket that the peer's kernel has not acknowledged,
+/// or 0 if it cannot be determined.
+///
+/// Thread safety: safe to call from any thread.
+size_t UnacknowledgedBytes(int fd);
+
 }  // namespace camphorhoist
 
 #endif  // CAMPHORHOIST_LIBBASE_SOCKET_OPTIONS_H_
--- a/src/libsidecar/servers/upstream_pool.cc
+++ b/src/libsidecar/servers/upstream_pool.cc
@@ -73,10 +73,21 @@
     if (!self->outcome_.sent) {
       return self->Fail(ResultKind::kNotRun, ResultReason::kUpstreamUnreachable);
     }
-    if ((what & BEV_EVENT_EOF) != 0 && self->parser_.OnClose()) return self->Complete();
+    // libevent may report a failed write and the end of the stream in one callback.
+    const bool orderly_close = (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == BEV_EVENT_EOF;
+    if (orderly_close && self->RequestDelivered() && self->parser_.OnClose()) {
+      return self->Complete();
+    }
     self->Fail(ResultKind::kUnknown, ResultReason::kConnectionLost);
   }
 
+  // A server that ends the stream while it is still receiving the request may reset the connection
+  // afterwards, so that the end of a response without a length is not known.
+  bool RequestDelivered() const {
+    return evbuffer_get_length(bufferevent_get_output(bufev_.get())) == 0 &&
+           UnacknowledgedBytes(bufferevent_getfd(bufev_.get())) == 0;
+  }
+
   void Read() {
     evbuffer* input = bufferevent_get_input(bufev_.get());
     while (true) {
--- a/src/libsidecar/sidecar_test.cc
+++ b/src/libsidecar/sidecar_test.cc
@@ -3,9 +3,12 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <csignal>
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "libsidecar/testing/sidecar_mesh.h"
@@ -15,6 +18,9 @@
 
 using std::chrono::milliseconds;
 
+/// How a server ends a connection after its response.
+enum class End { kReset, kResetLater, kCloseAndReset, kHalfClose, kClose };
+
 class SidecarTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SidecarTest);
   CPPUNIT_TEST(ForwardsCallToAnotherVm);
@@ -28,6 +34,8 @@
   CPPUNIT_TEST(EarlierRefusalDoesNotAnswerLaterRequest);
   CPPUNIT_TEST(EndlessResponsesAreCutOff);
   CPPUNIT_TEST(UnframedResponseIsCompleteOnlyAfterOrderlyClose);
+  CPPUNIT_TEST(UnframedResponseIsIncompleteIfTheUploadIsCutOff);
+  CPPUNIT_TEST(ResponseWithInvalidStatusOrFieldNameIs502);
   CPPUNIT_TEST(CallerDisconnectCancelsCall);
   CPPUNIT_TEST(DrainingUpstreamReceivesNoRequests);
   CPPUNIT_TEST(UpstreamThatLeavesInItsResponseReceivesNoRequests);
@@ -416,6 +424,85 @@
     CPPUNIT_ASSERT_EQUAL(502, StatusOf(mesh.Call(0, "POST", "/unsafe/x", "id-2")));
   }
 
+  // Guards against a partial response without a length that is passed on as a complete one, because
+  // the server resets or ends the connection while it is still receiving the upload.
+  void UnframedResponseIsIncompleteIfTheUploadIsCutOff() {
+    // As in the process of the sidecar.
+    std::signal(SIGPIPE, SIG_IGN);
+    // The caller is on the VM of the server, or on the other one.
+    for (const size_t caller : {1, 0}) {
+      SidecarMesh mesh(2);
+      mesh.SendHeartbeat(1);
+      mesh.PutConfig(2, milliseconds(5000));
+      nlohmann::json config = mesh.store().Spec("config", "main");
+      config["version"] = "r3";
+      config["limits"]["maxBodyBytes"] = 64 << 20;
+      mesh.store().Put("config", "main", config);
+      for (size_t i = 0; i < 2; ++i) {
+        CPPUNIT_ASSERT(mesh.Pump(
+            [&] { return mesh.Metrics(i).find("config_version 3\n") != std::string::npos; }));
+      }
+      mesh.WaitUntilServing(caller);
+      // Larger than the socket buffers, and small enough for the one of the sender.
+      for (const size_t upload_bytes : {12'000'000, 200'000}) {
+        for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+          const std::string name = "vm " + std::to_string(caller) + ", " + version + ", " +
+                                   std::to_string(upload_bytes) + " bytes, end ";
+          for (const End end :
+               {End::kReset, End::kResetLater, End::kCloseAndReset, End::kHalfClose, End::kClose}) {
+            const std::string message = name + std::to_string(static_cast<int>(end));
+            const std::string response =
+                UnframedResponse(&mesh, caller, upload_bytes, false, version, end);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 502, StatusOf(response));
+            CPPUNIT_ASSERT_MESSAGE(message, response.find("rrr") == std::string::npos);
+          }
+          const std::string whole =
+              UnframedResponse(&mesh, caller, upload_bytes, true, version, End::kClose);
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 200, StatusOf(whole));
+          CPPUNIT_ASSERT_MESSAGE(
+              name, whole.find("\r\n\r\n" + std::string(100, 'r')) != std::string::npos);
+        }
+      }
+    }
+  }
+
+  // Guards against a status or a field name that callers cannot parse.
+  void ResponseWithInvalidStatusOrFieldNameIs502() {
+    SidecarMesh mesh(2);
+    mesh.SendHeartbeat(1);
+    mesh.WaitUntilServing(0);
+    std::string status;
+    std::string name;
+    mesh.at(1).upstream->set_responder(
+        [&](RawServer::Connection* connection, const std::string& head) {
+          connection->Write("HTTP/1.1 " + status +
+                            " X\r\nX-Request-Id: " + FakeUpstream::RequestId(head) + "\r\n" + name +
+                            ": v\r\nContent-Length: 2\r\n\r\nok");
+        });
+    const std::string valid_name = "X-Name";
+    const std::vector<std::pair<std::string, std::string>> responses = {
+        {"000", valid_name}, {"099", valid_name}, {"600", valid_name}, {"999", valid_name},
+        {"200", "X Y"},      {"200", "X-Name "},  {"200", "X\x01"},    {"200", "X(Y)"},
+    };
+    int number = 0;
+    for (const size_t caller : {0, 1}) {
+      for (const auto& it : responses) {
+        std::tie(status, name) = it;
+        mesh.SendHeartbeat(1);
+        const std::string response =
+            mesh.Call(caller, "POST", "/unsafe/x", "bad-" + std::to_string(number++));
+        std::string message = status;
+        message.append(" ").append(name);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(message, 502, StatusOf(response));
+      }
+      status = "599";
+      name = valid_name;
+      const std::string response =
+          mesh.Call(caller, "POST", "/unsafe/x", "good-" + std::to_string(number++));
+      CPPUNIT_ASSERT_EQUAL(599, StatusOf(response));
+    }
+  }
+
   // Guards against work for callers that have disconnected.
   void CallerDisconnectCancelsCall() {
     SidecarMesh mesh(2);
@@ -1118,6 +1205,61 @@
   }
 
  private:
+  // Uploads `upload_bytes` to the upstream of node 1, which responds without a length and ends the
+  // connection: after the whole upload, or when its first bytes have arrived. Returns the response
+  // to the caller at node `caller`.
+  static std::string UnframedResponse(SidecarMesh* mesh, size_t caller, size_t upload_bytes,
+                                      bool whole_upload, const std::string& version, End end) {
+    static int number = 0;
+    const std::string id = "upload-" + std::to_string(number++);
+    const auto reset = [](RawServer::Connection* server) {
+      const linger reset_on_close{1, 0};
+      setsockopt(bufferevent_getfd(server->bufev.get()), SOL_SOCKET, SO_LINGER, &reset_on_close,
+                 sizeof(reset_on_close));
+      server->Close();
+    };
+    const auto respond = [&](RawServer::Connection* server) {
+      const std::string text =
+          version + " 200 OK\r\nX-Request-Id: " + id + "\r\n\r\n" + std::string(100, 'r');
+      const int fd = bufferevent_getfd(server->bufev.get());
+      bufferevent_disable(server->bufev.get(), EV_READ);
+      send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+      if (end == End::kResetLater) return;
+      if (end != End::kReset) shutdown(fd, SHUT_WR);
+      if (end == End::kReset || end == End::kCloseAndReset) return reset(server);
+      if (end != End::kHalfClose) server->Close();
+    };
+    RawServer::Connection* server = nullptr;
+    size_t received_with_head = 0;
+    mesh->SendHeartbeat(1);
+    mesh->at(1).upstream->set_responder(
+        [&](RawServer::Connection* connection, const std::string& head) {
+          server = connection;
+          if (!whole_upload) bufferevent_disable(connection->bufev.get(), EV_READ);
+          if (end == End::kReset && !whole_upload) return respond(connection);
+          received_with_head = head.size() - head.find("\r\n\r\n") - 4;
+        });
+    RawClient client(mesh->at(caller).settings.caller_listen);
+    client.SendAll(mesh->base(), RequestText("POST", "/unsafe/x", id,
+                                             std::string(upload_bytes, 'u'), milliseconds(5000)));
+    if (whole_upload) {
+      CPPUNIT_ASSERT(mesh->Pump([&] {
+        return server != nullptr && received_with_head + server->received.size() >= upload_bytes;
+      }));
+      respond(server);
+    } else if (end != End::kReset) {
+      CPPUNIT_ASSERT(mesh->Pump([&] { return server != nullptr; }));
+      // The sidecar writes as much as the sockets buffer.
+      mesh->PumpFor(milliseconds(20));
+      respond(server);
+      mesh->PumpFor(milliseconds(20));
+      if (end == End::kResetLater) reset(server);
+    }
+    CPPUNIT_ASSERT(mesh->Pump([&] { return IsComplete(client.Read()) || client.closed(); }));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, mesh->RequestCount(id));
+    return client.Read();
+  }
+
   // The upstream of node 1 names `limit` in each response.
   static void RespondWithLimit(SidecarMesh* mesh, const std::string& limit) {
     mesh->at(1).upstream->set_responder(
