--- a/include/camphorhoist/mesh_config.h
+++ b/include/camphorhoist/mesh_config.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -49,14 +50,16 @@
   int max_servers = 1;
   /// At least one.
   std::vector<WeightedService> destinations;
+  /// Requests are accepted without a key of an organisation.
+  bool is_public = false;
 
   bool idempotent() const { return kind != RequestKind::kNonIdempotent; }
 
   friend bool operator==(const MeshRoute& a, const MeshRoute& b) {
     return std::tie(a.name, a.host, a.path_prefix, a.kind, a.timeout, a.objective, a.priority,
-                    a.max_servers, a.destinations) ==
+                    a.max_servers, a.destinations, a.is_public) ==
            std::tie(b.name, b.host, b.path_prefix, b.kind, b.timeout, b.objective, b.priority,
-                    b.max_servers, b.destinations);
+                    b.max_servers, b.destinations, b.is_public);
   }
 };
 
@@ -73,6 +76,24 @@
   }
 };
 
+/// An organisation whose callers authenticate with API keys.
+struct MeshOrganisation {
+  std::string name;
+  /// Secrets: must not be logged, exported in metrics or sent to another process.
+  std::vector<std::string> keys;
+  /// Overrides the priority of the route; empty if the route's priority applies.
+  std::optional<int> priority;
+  /// Limit on the requests of the organisation over all VMs; 0: no limit.
+  double requests_per_second = 0;
+  /// Number of requests that may exceed the rate at once.
+  double burst = 0;
+
+  friend bool operator==(const MeshOrganisation& a, const MeshOrganisation& b) {
+    return std::tie(a.name, a.keys, a.priority, a.requests_per_second, a.burst) ==
+           std::tie(b.name, b.keys, b.priority, b.requests_per_second, b.burst);
+  }
+};
+
 /// Limits on the size and the duration of callers' requests.
 struct CallerLimits {
   size_t max_header_bytes = 16 << 10;
@@ -93,9 +114,10 @@
 /// Immutable. Thread safety: const functions may be called from several threads.
 class MeshConfig {
  public:
-  /// Precondition: no two routes have the same host and path prefix.
+  /// Preconditions: no two routes have the same host and path prefix; no two organisations have the
+  /// same name or a key in common.
   MeshConfig(uint64_t version, std::vector<MeshRoute> routes, std::vector<MeshService> services,
-             CallerLimits limits);
+             CallerLimits limits, std::vector<MeshOrganisation> organisations = {});
   MeshConfig(const MeshConfig&) = delete;
   MeshConfig& operator=(const MeshConfig&) = delete;
 
@@ -103,19 +125,30 @@
   const std::vector<MeshRoute>& routes() const { return routes_; }
   const std::vector<MeshService>& services() const { return services_; }
   const CallerLimits& limits() const { return limits_; }
+  /// Empty if the deployment has no organisations; requests then need no key.
+  const std::vector<MeshOrganisation>& organisations() const { return organisations_; }
 
   /// Returns the route with the longest path prefix that matches `target`, or nullptr. The port of
   /// `host` and the query of `target` are ignored; the host is case-insensitive.
   const MeshRoute* Match(std::string_view host, std::string_view target) const;
   /// Returns nullptr if there is no service of this name.
   const MeshService* FindService(const std::string& name) const;
+  /// Longest timeout of a route; 0 without routes.
+  std::chrono::microseconds longest_timeout() const { return longest_timeout_; }
+  /// Returns nullptr if no organisation has this key. Takes constant time on average, regardless of
+  /// the number of keys.
+  const MeshOrganisation* FindOrganisationByKey(std::string_view key) const;
 
  private:
   uint64_t version_;
   std::vector<MeshRoute> routes_;
   std::vector<MeshService> services_;
   CallerLimits limits_;
+  std::vector<MeshOrganisation> organisations_;
+  std::chrono::microseconds longest_timeout_{};
   std::unordered_map<std::string, std::unordered_map<std::string, const MeshRoute*>> by_host_;
+  /// The keys refer to strings of `organisations_`.
+  std::unordered_map<std::string_view, const MeshOrganisation*> by_key_;
 };
 
 }  // namespace camphorhoist
--- a/src/libproxy/config/mesh_config.cc
+++ b/src/libproxy/config/mesh_config.cc
@@ -18,12 +18,20 @@
 }  // namespace
 
 MeshConfig::MeshConfig(uint64_t version, std::vector<MeshRoute> routes,
-                       std::vector<MeshService> services, CallerLimits limits)
+                       std::vector<MeshService> services, CallerLimits limits,
+                       std::vector<MeshOrganisation> organisations)
     : version_(version),
       routes_(std::move(routes)),
       services_(std::move(services)),
-      limits_(limits) {
-  for (const MeshRoute& it : routes_) by_host_[CanonicalHost(it.host)][it.path_prefix] = &it;
+      limits_(limits),
+      organisations_(std::move(organisations)) {
+  for (const MeshRoute& it : routes_) {
+    by_host_[CanonicalHost(it.host)][it.path_prefix] = &it;
+    longest_timeout_ = std::max(longest_timeout_, it.timeout);
+  }
+  for (const MeshOrganisation& it : organisations_) {
+    for (const std::string& key : it.keys) by_key_.emplace(key, &it);
+  }
 }
 
 const MeshRoute* MeshConfig::Match(std::string_view host, std::string_view target) const {
@@ -48,4 +56,9 @@
   return it == services_.end() ? nullptr : &*it;
 }
 
+const MeshOrganisation* MeshConfig::FindOrganisationByKey(std::string_view key) const {
+  const auto it = by_key_.find(key);
+  return it == by_key_.end() ? nullptr : it->second;
+}
+
 }  // namespace camphorhoist
--- a/src/libproxy/config/mesh_config_test.cc
+++ b/src/libproxy/config/mesh_config_test.cc
@@ -21,6 +21,7 @@
 class MeshConfigTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MeshConfigTest);
   CPPUNIT_TEST(MatchesTheLongestPrefix);
+  CPPUNIT_TEST(FindsOrganisationsByAnyOfTheirKeys);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -49,6 +50,29 @@
                                    route == nullptr ? std::string() : route->name);
     }
   }
+
+  // Guards against a key that identifies another organisation, or that no lookup finds among many.
+  void FindsOrganisationsByAnyOfTheirKeys() {
+    constexpr int kOrganisations = 100;
+    constexpr int kKeysOfEach = 50;
+    const auto key = [](int i, int k) { return "key-" + std::to_string(i * kKeysOfEach + k); };
+    std::vector<MeshOrganisation> organisations(kOrganisations);
+    for (int i = 0; i < kOrganisations; ++i) {
+      organisations[i].name = "org-" + std::to_string(i);
+      for (int k = 0; k < kKeysOfEach; ++k) organisations[i].keys.push_back(key(i, k));
+    }
+    const MeshConfig config(3, {}, {}, {}, organisations);
+    CPPUNIT_ASSERT(config.organisations() == organisations);
+    for (int i = 0; i < kOrganisations; ++i) {
+      for (int k = 0; k < kKeysOfEach; ++k) {
+        const MeshOrganisation* found = config.FindOrganisationByKey(key(i, k));
+        CPPUNIT_ASSERT_EQUAL(organisations[i].name, found == nullptr ? "" : found->name);
+      }
+    }
+    for (const std::string& unknown : {std::string(), key(kOrganisations, 0), std::string("key")}) {
+      CPPUNIT_ASSERT(config.FindOrganisationByKey(unknown) == nullptr);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MeshConfigTest);
