--- a/src/testing/test_main.cc
+++ b/src/testing/test_main.cc
@@ -1,5 +1,6 @@
 // Shared main() of the CppUnit test programs. Arguments are names of tests (`Suite::Test`) or
-// suites, and only those run; `--list` prints the names of all tests and runs none.
+// suites, and only those run; `--list` prints the names of all tests and runs none. Suites in the
+// registry "unmet targets" run only if they are named.
 
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
@@ -44,6 +45,8 @@
 
 int main(int argc, char** argv) {
   const std::unique_ptr<CppUnit::Test> all(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  const std::unique_ptr<CppUnit::Test> unmet(
+      CppUnit::TestFactoryRegistry::getRegistry("unmet targets").makeTest());
   if (argc == 2 && std::string(argv[1]) == "--list") {
     PrintNames(*all);
     return 0;
@@ -59,6 +62,7 @@
   if (argc == 1) controller.runTest(all.get());
   for (int i = 1; i < argc; ++i) {
     CppUnit::Test* test = FindTest(all.get(), argv[i]);
+    if (test == nullptr) test = FindTest(unmet.get(), argv[i]);
     if (test == nullptr) {
       std::cerr << "no test or suite named " << argv[i] << '\n';
       return 1;
