--- a/include/camphorhoist/upstream_report.h
+++ b/include/camphorhoist/upstream_report.h
@@ -27,6 +27,8 @@
   int64_t sequence = 0;
   /// Start time in ms since the Unix epoch by the upstream's clock; empty if it was not reported.
   std::optional<int64_t> started_ms;
+  /// Version of the upstream's software; empty if it was not reported.
+  std::string version;
 };
 
 }  // namespace camphorhoist
--- a/src/libproxy/testing/load_replay.cc
+++ b/src/libproxy/testing/load_replay.cc
@@ -4,8 +4,10 @@
 #include <cmath>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <queue>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "camphorhoist/call_estimates.h"
@@ -50,7 +52,9 @@
   double now_ = 0;
 };
 
-constexpr size_t kResponseBytes = 1500;
+// Sizes of the messages between sidecars, for the bytes between data centres.
+constexpr double kOfferBytes = 330;
+constexpr double kRejectionBytes = 190;
 
 /// One attempt of a caller to make a call.
 struct Attempt {
@@ -64,6 +68,8 @@
   int retries_left = 1;
   bool is_abusive = false;
   CallPlacement placement;
+  /// Servers that the call was offered to.
+  std::set<size_t> tried;
   /// For a nested call: continues its parent. The argument tells whether there is a response.
   std::function<void(bool)> on_nested_end;
 
@@ -100,6 +106,9 @@
       }
     }
     next_wakeup_ms_.resize(scenario.servers.size(), -1);
+    work_ms_.resize(scenario.servers.size(), 0);
+    shares_.resize(scenario.servers.size());
+    in_flight_.resize(senders, std::vector<uint32_t>(scenario.servers.size(), 0));
   }
 
   ReplayResult Run() {
@@ -109,6 +118,10 @@
         if (scenario_.classes[cls].calls_per_second > 0) ScheduleArrival(data_centre, cls, 0);
       }
     }
+    for (size_t i = 0; i < scenario_.servers.size(); ++i) {
+      const double starts_at = scenario_.servers[i].starts_at;
+      if (starts_at > 0) loop_.Schedule(starts_at * 1000, [this, i] { OnServerStart(i); });
+    }
     loop_.Run();
     double max_credit = 0;
     double earned = 0;
@@ -130,10 +143,35 @@
     result_.remote_offers = static_cast<double>(remote_offers_) / attempts;
     result_.remote_responses = static_cast<double>(remote_responses_) /
                                static_cast<double>(std::max<uint64_t>(responses_, 1));
+    result_.remote_bytes = remote_bytes_ / attempts;
+    result_.announcements = static_cast<double>(announcements_) / attempts;
+    result_.busiest = Busiest();
+    std::sort(latencies_ms_.begin(), latencies_ms_.end());
+    if (!latencies_ms_.empty()) {
+      result_.median_latency_ms = latencies_ms_[latencies_ms_.size() / 2];
+      result_.p99_latency_ms = latencies_ms_[latencies_ms_.size() * 99 / 100];
+    }
     return result_;
   }
 
  private:
+  double Busiest() const {
+    std::map<size_t, std::vector<double>> by_service;
+    for (size_t i = 0; i < work_ms_.size(); ++i) {
+      const ReplayServer& it = scenario_.servers[i];
+      by_service[it.service].push_back(work_ms_[i] / it.slots / it.speed);
+    }
+    double busiest = 0;
+    for (const auto& [service, loads] : by_service) {
+      const double mean =
+          std::accumulate(loads.begin(), loads.end(), 0.0) / static_cast<double>(loads.size());
+      if (mean > 0) {
+        busiest = std::max(busiest, *std::max_element(loads.begin(), loads.end()) / mean);
+      }
+    }
+    return busiest;
+  }
+
   // Samples a Poisson process of varying rate by thinning one of the maximum rate.
   void ScheduleArrival(size_t data_centre, size_t cls, double from) {
     constexpr double kMaxDemandFactor = 4;
@@ -198,26 +236,112 @@
 
   void SendOffer(const std::shared_ptr<Attempt>& attempt) {
     auto& servers = candidates_by_sender_[attempt->sender];
+    const std::vector<size_t> indices = SelectServers(*attempt);
     ServerCandidates candidates;
-    std::vector<size_t> indices;
-    for (size_t i = 0; i < servers.size(); ++i) {
-      if (scenario_.servers[i].service != scenario_.classes[attempt->cls].service) continue;
-      candidates.push_back(&servers[i]);
-      indices.push_back(i);
-    }
+    candidates.reserve(indices.size());
+    for (const size_t i : indices) candidates.push_back(&servers[i]);
     const auto offer = attempt->placement.NextOffer(
         At(loop_.now()), DataCentreOf(attempt->sender),
         estimates_by_sender_[attempt->sender].Get(attempt->cls), candidates, &rng_);
     if (!offer) return OnRefused(attempt);
     ++offers_;
     const size_t server = indices[offer->index];
-    if (IsRemote(attempt->sender, server)) ++remote_offers_;
+    if (IsRemote(attempt->sender, server)) {
+      ++remote_offers_;
+      remote_bytes_ += kOfferBytes;
+    }
+    const auto second = static_cast<size_t>(loop_.now() / 1000);
+    if (result_.offers_by_second.size() <= second) {
+      result_.offers_by_second.resize(second + 1, std::vector<uint64_t>(servers.size(), 0));
+    }
+    ++result_.offers_by_second[second][server];
     ++servers[server].offers_since_report;
+    ++in_flight_[attempt->sender][server];
+    attempt->tried.insert(server);
+    shares_[server][attempt->sender] = loop_.now();
     const ProxyDuration max_wait = offer->max_wait;
     loop_.Schedule(loop_.now() + NetworkDelayMs(attempt->sender, server),
                    [this, attempt, server, max_wait] { OnOffer(attempt, server, max_wait); });
   }
 
+  /// Returns the servers that the strategy of the scenario lets the sender choose among. All
+  /// servers are returned for the last offer of a call, which accepts any wait.
+  std::vector<size_t> SelectServers(const Attempt& attempt) {
+    std::vector<size_t> servers;
+    for (size_t i = 0; i < scenario_.servers.size(); ++i) {
+      const ReplayServer& it = scenario_.servers[i];
+      if (it.service != scenario_.classes[attempt.cls].service) continue;
+      if (it.starts_at * 1000 <= loop_.now()) servers.push_back(i);
+    }
+    if (attempt.placement.offers() >= CallPlacement::kMaxOffers) return servers;
+    std::vector<size_t> selected;
+    switch (scenario_.strategy) {
+      case ReplayStrategy::kAllServers:
+      case ReplayStrategy::kFreeSlotsAnnounced:
+        return servers;
+      case ReplayStrategy::kTwoRandomServers: {
+        std::shuffle(servers.begin(), servers.end(), rng_);
+        for (const size_t i : servers) {
+          if (attempt.tried.count(i) == 0 && selected.size() < 2) selected.push_back(i);
+        }
+        break;
+      }
+      case ReplayStrategy::kRandomServersNearby: {
+        std::shuffle(servers.begin(), servers.end(), rng_);
+        size_t nearby = 0;
+        size_t remote = 0;
+        for (const size_t i : servers) {
+          if (attempt.tried.count(i) != 0) continue;
+          const bool is_remote = IsRemote(attempt.sender, i);
+          if (is_remote ? remote++ < 1 : nearby++ < 2) selected.push_back(i);
+        }
+        break;
+      }
+      case ReplayStrategy::kFixedSubset: {
+        // A server is in the subset if it is one of the first two of its data centre in an order
+        // that depends on the sender.
+        std::vector<size_t> order = servers;
+        std::mt19937_64 rng(attempt.sender + 1);
+        std::shuffle(order.begin(), order.end(), rng);
+        std::map<std::string, size_t> count;
+        for (const size_t i : order) {
+          if (++count[scenario_.servers[i].data_centre] <= 2) selected.push_back(i);
+        }
+        break;
+      }
+      case ReplayStrategy::kCapacityShares:
+        for (const size_t i : servers) {
+          if (in_flight_[attempt.sender][i] < ShareOf(attempt.sender, i)) selected.push_back(i);
+        }
+        break;
+    }
+    return selected.empty() ? servers : selected;
+  }
+
+  double ShareOf(size_t sender, size_t server) {
+    constexpr double kShareTimeoutMs = 1000;
+    std::map<size_t, double>& users = shares_[server];
+    for (auto it = users.begin(); it != users.end();) {
+      it = it->second + kShareTimeoutMs < loop_.now() ? users.erase(it) : std::next(it);
+    }
+    const double slots = scenario_.servers[server].slots;
+    if (users.count(sender) == 0) return 1;
+    return std::max(1.0, slots / static_cast<double>(users.size()));
+  }
+
+  void AnnounceFreeSlots(size_t server, const ServerLoad& load) {
+    if (scenario_.strategy != ReplayStrategy::kFreeSlotsAnnounced) return;
+    if (load.running >= load.limit) return;
+    std::uniform_int_distribution<size_t> any(0, candidates_by_sender_.size() - 1);
+    for (int i = 0; i < 2; ++i) {
+      const size_t sender = any(rng_);
+      ++announcements_;
+      if (IsRemote(sender, server)) remote_bytes_ += kRejectionBytes;
+      loop_.Schedule(loop_.now() + NetworkDelayMs(sender, server),
+                     [this, sender, server, load] { UpdateLoad(sender, server, load); });
+    }
+  }
+
   void OnOffer(const std::shared_ptr<Attempt>& attempt, size_t server, ProxyDuration max_wait) {
     const ReplayClass& call_class = scenario_.classes[attempt->cls];
     PendingCall call;
@@ -247,14 +371,29 @@
 
   void RejectOffer(const std::shared_ptr<Attempt>& attempt, size_t server) {
     const ServerLoad load = queues_[server].load(At(loop_.now()));
+    if (IsRemote(attempt->sender, server)) remote_bytes_ += kRejectionBytes;
     loop_.Schedule(loop_.now() + NetworkDelayMs(attempt->sender, server),
                    [this, attempt, server, load] {
-                     UpdateLoad(attempt->sender, server, load);
+                     --in_flight_[attempt->sender][server];
+                     ReportLoad(attempt->sender, server, load);
                      attempt->placement.OnBusy(std::to_string(server), load.expected_wait);
                      SendOffer(attempt);
                    });
   }
 
+  void OnServerStart(size_t server) {
+    const ServerLoad load = queues_[server].load(At(loop_.now()));
+    for (size_t sender = 0; sender < candidates_by_sender_.size(); ++sender) {
+      UpdateLoad(sender, server, load);
+    }
+  }
+
+  void ReportLoad(size_t sender, size_t server, const ServerLoad& load) {
+    if (scenario_.report_delay_ms == 0) return UpdateLoad(sender, server, load);
+    loop_.Schedule(loop_.now() + scenario_.report_delay_ms,
+                   [this, sender, server, load] { UpdateLoad(sender, server, load); });
+  }
+
   void UpdateLoad(size_t sender, size_t server, const ServerLoad& load) {
     ServerPicker::UpdateLoad(At(loop_.now()), load, &candidates_by_sender_[sender][server]);
   }
@@ -312,7 +451,11 @@
     const size_t server = run->server;
     if (completes) {
       ++responses_;
-      if (IsRemote(run->attempt->sender, server)) ++remote_responses_;
+      work_ms_[server] += run->attempt->work_ms;
+      if (IsRemote(run->attempt->sender, server)) {
+        ++remote_responses_;
+        remote_bytes_ += static_cast<double>(scenario_.classes[run->attempt->cls].response_bytes);
+      }
     }
     const std::shared_ptr<Attempt>& attempt = run->attempt;
     const double run_ms = loop_.now() - run->started;
@@ -326,12 +469,15 @@
       queues_[server].OnAbort(At(loop_.now()), run->key);
     }
     const ServerLoad load = queues_[server].load(At(loop_.now()));
+    AnnounceFreeSlots(server, load);
     loop_.Schedule(loop_.now() + NetworkDelayMs(attempt->sender, server),
                    [this, attempt, server, load, completes, service_time] {
-                     UpdateLoad(attempt->sender, server, load);
+                     --in_flight_[attempt->sender][server];
+                     ReportLoad(attempt->sender, server, load);
                      if (completes) {
-                       estimates_by_sender_[attempt->sender].Record(attempt->cls, kResponseBytes,
-                                                                    service_time);
+                       estimates_by_sender_[attempt->sender].Record(
+                           attempt->cls, scenario_.classes[attempt->cls].response_bytes,
+                           service_time);
                      }
                      if (attempt->nested()) return attempt->on_nested_end(completes);
                      if (completes) return OnResponse(*attempt);
@@ -344,6 +490,7 @@
     const ReplayClass& call_class = scenario_.classes[attempt.cls];
     ReplayClassResult& result = result_.classes[attempt.cls];
     ReplaySecond& second = SecondOf(attempt.first_arrived_at);
+    latencies_ms_.push_back(loop_.now() - attempt.first_arrived_at);
     if (loop_.now() <= attempt.first_arrived_at + call_class.objective_ms) {
       ++result.timely;
       second.credit += 1;
@@ -401,6 +548,7 @@
                             : std::min(static_cast<double>(delay.count()) / 1000, left / 3);
     auto next = std::make_shared<Attempt>(*attempt);
     next->placement = CallPlacement();
+    next->tried.clear();
     next->retries_left = attempt->retries_left - 1;
     loop_.Schedule(loop_.now() + wait, [this, next] {
       next->arrived_at = loop_.now();
@@ -426,6 +574,15 @@
   uint64_t responses_ = 0;
   uint64_t remote_responses_ = 0;
   double busy_ms_ = 0;
+  uint64_t announcements_ = 0;
+  double remote_bytes_ = 0;
+  /// Completed work of each server, at the usual speed.
+  std::vector<double> work_ms_;
+  std::vector<double> latencies_ms_;
+  /// Calls of each sender at each server that have no result yet.
+  std::vector<std::vector<uint32_t>> in_flight_;
+  /// For each server, the senders and the times of their last offers.
+  std::vector<std::map<size_t, double>> shares_;
 };
 
 }  // namespace
--- a/src/libproxy/testing/load_replay.h
+++ b/src/libproxy/testing/load_replay.h
@@ -16,6 +16,10 @@
   std::string data_centre;
   uint32_t slots = 6;
   size_t service = 0;
+  /// Usual speed; used only to compare the work of servers, `slowdown` has to include it.
+  double speed = 1;
+  /// Time at which the server starts, in seconds. All senders learn of it at that time.
+  double starts_at = 0;
   /// Factor on the execution time of work at `t` seconds from the start.
   std::function<double(double t)> slowdown = [](double) { return 1.0; };
 };
@@ -42,6 +46,7 @@
   double straggler_factor = 7;
   double objective_ms = 0;
   double deadline_ms = 0;
+  size_t response_bytes = 1500;
   int priority = 1;
   /// Service whose servers run the calls.
   size_t service = 0;
@@ -54,6 +59,25 @@
   double late_refusal_penalty = 0.5;
 };
 
+/// How a sender selects the servers that `CallPlacement` chooses among.
+enum class ReplayStrategy : uint8_t {
+  /// All servers of the service.
+  kAllServers,
+  /// Two random servers that have not been tried for the call.
+  kTwoRandomServers,
+  /// Two random servers of the own data centre and one of the others that have not been tried.
+  kRandomServersNearby,
+  /// All servers. A server with free slots sends its load to two random senders whenever a call
+  /// ends.
+  kFreeSlotsAnnounced,
+  /// A subset of the servers, the same for all calls of the sender: at most two in each data
+  /// centre.
+  kFixedSubset,
+  /// Servers whose share of this sender is not used up. The slots of each server are divided among
+  /// the senders that used it in the last second, with one slot more for a new sender.
+  kCapacityShares,
+};
+
 /// A load pattern and the servers it is applied to.
 struct ReplayScenario {
   double seconds = 30;
@@ -67,6 +91,9 @@
   };
   /// One-way network delay between two sidecars in different data centres.
   double cross_data_centre_delay_ms = 0.9;
+  /// Time by which load reports arrive later than the result that they belong to.
+  double report_delay_ms = 0;
+  ReplayStrategy strategy = ReplayStrategy::kAllServers;
   /// Share of callers that ignore Retry-After: they retry almost at once and
   /// `abusive_caller_retries` times. Other callers retry once, after the Retry-After.
   double abusive_caller_share = 0;
@@ -110,6 +137,18 @@
   double remote_offers = 0;
   /// Share of the responses that came from another data centre.
   double remote_responses = 0;
+  /// Work that was completed by the busiest server relative to the mean over the servers of its
+  /// service, as work per slot and speed; the maximum over the services.
+  double busiest = 0;
+  /// Bytes sent between data centres per call attempt.
+  double remote_bytes = 0;
+  /// Announcements of free slots per call attempt.
+  double announcements = 0;
+  /// Latency from the first attempt to the response, over calls with a response.
+  double median_latency_ms = 0;
+  double p99_latency_ms = 0;
+  /// Offers to each server in each second, by second and server.
+  std::vector<std::vector<uint64_t>> offers_by_second;
   /// Mean credit per call.
   double credit = 0;
   /// Mean credit per call after the deductions for refusals. `late_refusal_penalty` grows linearly
--- a/src/libproxy/testing/load_scenarios.cc
+++ b/src/libproxy/testing/load_scenarios.cc
@@ -113,6 +113,37 @@
   return scenario;
 }
 
+ReplayScenario UnevenFleet(size_t vms, double load) {
+  constexpr double kSpeeds[] = {0.6, 1.0, 1.4};
+  constexpr double kSlowedShare = 0.15;
+  constexpr double kSlowedFactor = 2.5;
+  ReplayScenario scenario;
+  scenario.data_centres = {"a", "b", "c", "d"};
+  scenario.senders_per_data_centre = vms / 4;
+  scenario.cross_data_centre_delay_ms = 2.6;
+  scenario.report_delay_ms = 100;
+  const size_t servers = vms / 12 * 4 + (vms < 24 ? 4 : 0);
+  double calls_per_ms = 0;
+  constexpr double kMeanWorkMs = 1.18 * (0.8 * 76 + 0.2 * 100);  // 3% take seven times as long.
+  for (size_t i = 0; i < servers; ++i) {
+    ReplayServer server;
+    server.data_centre = scenario.data_centres[i % 4];
+    server.speed = kSpeeds[i % 3];
+    server.slowdown =
+        NoisyNeighbourSlowdown(1 / server.speed, kSlowedShare, kSlowedFactor, 0.6, i + 7);
+    calls_per_ms +=
+        server.slots * server.speed / (1 + kSlowedShare * (kSlowedFactor - 1)) / kMeanWorkMs;
+    scenario.servers.push_back(server);
+  }
+  const double calls_per_second = load * calls_per_ms * 1000;
+  scenario.classes = {LookupClass(0.8 * calls_per_second), OrderClass(0.2 * calls_per_second)};
+  scenario.classes[1].response_bytes = 20000;
+  scenario.demand_factor = [](size_t data_centre, double t) {
+    return 1 + 0.55 * std::sin(2 * kPi * (t / 15 + 0.25 * static_cast<double>(data_centre)));
+  };
+  return scenario;
+}
+
 std::vector<NamedScenario> AllScenarios() {
   std::vector<NamedScenario> all;
   ReplayScenario below_capacity = ServersOfUnevenSpeed();
--- a/src/libproxy/testing/load_scenarios.h
+++ b/src/libproxy/testing/load_scenarios.h
@@ -24,6 +24,12 @@
 /// calls are longer still. `demand`: factor on the load.
 ReplayScenario NestedCallsBetweenServices(double demand);
 
+/// Mesh of `vms` sidecars in four data centres. A third of the VMs run the called service, at
+/// 0.6, 1.0 and 1.4 times the usual speed, slowed down 2.5 times for parts of a second. The demand
+/// of the data centres fluctuates by 55%, out of phase; its mean is `load` times the capacity. Load
+/// reports are 100 ms old.
+ReplayScenario UnevenFleet(size_t vms, double load);
+
 /// All scenarios of the tests and the benchmark.
 std::vector<NamedScenario> AllScenarios();
 
