--- a/include/camphorhoist/sidecar_settings.h
+++ b/include/camphorhoist/sidecar_settings.h
@@ -9,6 +9,7 @@
 
 #include "camphorhoist/fleet_retry_budget.h"
 #include "camphorhoist/net_address.h"
+#include "camphorhoist/rollout_policy.h"
 
 namespace camphorhoist {
 
@@ -38,8 +39,14 @@
   /// Time from SIGTERM until the platform kills the process.
   std::chrono::microseconds grace_period{};
   RetryBudgetOptions retry_budget;
+  /// Bounds on roll-outs; without them roll-out orders are not read.
+  std::optional<RolloutBounds> rollout;
   /// Bandwidth of the VM's network link.
   size_t link_bytes_per_second = 0;
+  /// Memory of the VM; 0 if it is not known, and then not limited.
+  size_t memory_bytes = 0;
+  /// Maximum number of open descriptors of the process; 0 if it is not known, and then not limited.
+  size_t max_descriptors = 0;
 };
 
 }  // namespace camphorhoist
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -3,6 +3,6 @@
 # the build does not need.
 set -eu
 cd "$(dirname "$0")/../src"
-for schema in $(git ls-files "*.capnp"); do
+for schema in $(git ls-files '*.capnp'); do
   (cd "$(dirname "$schema")" && capnp compile -oc++ "$(basename "$schema")")
 done
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -5,8 +5,8 @@
 injects overlapping faults: sidecars are killed, paused, stopped and restarted by signals; the store
 refuses requests, stops responding, loses responses, entries or history; the connections to the store,
 to the upstreams and of the callers go through relays that delay, reset or stall them in one or both
-directions. Callers reuse their connections until these close. The checks use only what callers and
-upstreams observe:
+directions. Callers reuse their connections until these close, and pipeline some idempotent requests.
+The checks use only what callers and upstreams observe:
 
   bytes    a 200 response has the complete body of the upstream's response to the same request
   once     a non-idempotent request runs at most once
@@ -46,6 +46,8 @@
 SIGNAL_HANDLER_READY_S = 0.3  # programs take some tens of ms to load
 HEARTBEAT_S = 1.0
 BULK_BODY_BYTES = 60000
+PIPELINE_SHARE = 0.1          # share of the idempotent calls that are several pipelined requests
+MAX_PIPELINED = 4
 REFUSAL_STATUSES = (408, 421, 429, 503)
 
 
@@ -484,40 +486,45 @@
             "limits": {"maxHeaderBytes": 4096, "maxBodyBytes": 100000, "headerTimeoutS": 2,
                        "idleTimeoutS": IDLE_TIMEOUT_S}})
 
-    async def call(self, node, connection, path, method):
-        """Sends one request. Returns (status or None, connection to reuse or None)."""
-        self.next_id += 1
-        request_id = f"{self.seed:x}x{self.next_id:x}"
+    async def call(self, node, connection, path, method, count=1):
+        """Sends `count` requests, pipelined. Returns (status of the first or None, connection to reuse
+        or None)."""
+        request_ids = [f"{self.seed:x}x{self.next_id + i:x}" for i in range(1, count + 1)]
+        self.next_id += count
         if path == "/unsafe/":
-            self.unsafe.append(request_id)
+            self.unsafe += request_ids
         start = time.monotonic()
-        status = None
+        statuses = []
         try:
             if connection is None:
                 connection = await asyncio.wait_for(
                     asyncio.open_connection("127.0.0.1", node.caller_relay.port), 1)
             reader, writer = connection
-            writer.write(encode_message(f"{method} {path}x HTTP/1.1", {
+            writer.write(b"".join(encode_message(f"{method} {path}x HTTP/1.1", {
                 "Host": "h.example", "X-Request-Id": request_id,
-                "X-Timeout-Ms": str(int(TIMEOUT_S * 1000))}))
-            response = await asyncio.wait_for(read_message(reader), TIMEOUT_S + HANG_SLACK_S)
-            if response is None:
-                connection = None
-            else:
-                status = int(response[0].split(" ")[1])
-                self.check_response(request_id, path, status, response)
+                "X-Timeout-Ms": str(int(TIMEOUT_S * 1000))}) for request_id in request_ids))
+            for request_id in request_ids:
+                left = start + TIMEOUT_S + HANG_SLACK_S - time.monotonic()
+                response = await asyncio.wait_for(read_message(reader), left)
+                if response is None:
+                    connection = None
+                    break
+                statuses.append(int(response[0].split(" ")[1]))
+                self.check_response(request_id, path, statuses[-1], response)
                 if response[1].get("connection") == "close":
                     writer.close()
                     connection = None
+                    break
         except asyncio.TimeoutError:
             if time.monotonic() > max(node.disturbed_until, self.disturbed_until):
-                self.add_violation("hang", f"{request_id} at {node.name}, begun {start:.2f}, "
-                                           + self.cpu_waits.since(start))
+                self.add_violation("hang", f"{request_ids[len(statuses)]} at {node.name}, "
+                                           f"begun {start:.2f}, " + self.cpu_waits.since(start))
             connection = None
         except (OSError, asyncio.IncompleteReadError):
             connection = None  # aborted by a relay, or the process has exited
-        self.results.append((start, node.number, status))
-        return status, connection
+        statuses += [None] * (count - len(statuses))
+        self.results += [(start, node.number, status) for status in statuses]
+        return statuses[0], connection
 
     def check_response(self, request_id, path, status, response):
         if status == 200 and response[2] != expected_body(request_id, path):
@@ -530,7 +537,9 @@
         connection = None
         while not self.finished:
             path, method = self.rng.choices(kinds, (6, 4, 1))[0]
-            _, connection = await self.call(node, connection, path, method)
+            pipelines = path != "/unsafe/" and self.rng.random() < PIPELINE_SHARE
+            count = self.rng.randint(2, MAX_PIPELINED) if pipelines else 1
+            _, connection = await self.call(node, connection, path, method, count)
             pause = self.rng.expovariate(1 / self.pause_s)
             await asyncio.sleep(pause)
             if connection is not None and pause > MAX_IDLE_S:
--- a/src/libbase/event_ptr.h
+++ b/src/libbase/event_ptr.h
@@ -30,6 +30,16 @@
 using EvbufferPtr = std::unique_ptr<evbuffer, EventDeleter>;
 using BuffereventPtr = std::unique_ptr<bufferevent, EventDeleter>;
 
+/// Closes the socket of a connected bufferevent, which must not be used afterwards except to free
+/// it. `bufferevent_free` closes the socket only in a later step of the event loop. Connections
+/// that are accepted before that would exceed the descriptor limit.
+inline void CloseSocket(bufferevent* bufev) {
+  const evutil_socket_t fd = bufferevent_getfd(bufev);
+  if (fd < 0) return;
+  bufferevent_setfd(bufev, -1);
+  evutil_closesocket(fd);
+}
+
 inline timeval ToTimeval(std::chrono::microseconds duration) {
   timeval tv;
   tv.tv_sec = static_cast<time_t>(duration.count() / 1000000);
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <utility>
 
+#include "camphorhoist/caller_identity.h"
 #include "libbase/log.h"
 #include "libcaller/http_headers.h"
 #include "platform/message_headers.h"
@@ -20,6 +21,8 @@
 
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -40,12 +43,15 @@
 }  // namespace
 
 Dispatcher::Dispatcher(event_base* base, const SidecarSettings* settings, uint64_t incarnation,
-                       PeerDirectory* directory, LocalUpstream* local, SidecarMetrics* metrics)
+                       PeerDirectory* directory, LocalUpstream* local, PermitExchange* permits,
+                       RolloutExchange* rollouts, SidecarMetrics* metrics)
     : base_(base),
       settings_(settings),
       incarnation_(incarnation),
       directory_(directory),
       local_(local),
+      permits_(permits),
+      rollouts_(rollouts),
       metrics_(metrics),
       budget_(settings->retry_budget),
       rng_(incarnation),
@@ -89,6 +95,7 @@
   metrics_->Count("requests_total");
 
   const platform::CallerHeaders caller = platform::DecodeCallerHeaders(call->request.headers);
+  platform::RemoveCallerKey(&call->request.headers);
   call->request_id = caller.request_id;
   call->nested = local_->IsRunningParentOf(call->request_id);
   call->deadline = call->arrived_at + kTimeoutWithoutConfig;
@@ -107,6 +114,7 @@
     return handle;
   }
   call->route = *route;
+  if (!CheckKey(call, caller.key)) return handle;
   call->service = ChooseService(*route);
   call->profile = ComputeProfile(*route, call->service, call->request.method);
   ProxyDuration timeout = route->timeout;
@@ -124,19 +132,95 @@
     Refuse(call, ToString(ResultReason::kStopping));
     return handle;
   }
-  budget_.OnRequest(call->arrived_at, call->service);
   call->timer = std::make_unique<Timer>(base_, [this, handle] { OnDeadline(handle); });
   call->timer->StartOnce(timeout + kResultSlack);
-  OfferToNextServer(call);
+  if (TakePermit(call)) StartPlacement(call);
   return handle;
 }
 
-ServerCandidates Dispatcher::Candidates(const std::string& service) const {
+void Dispatcher::StartPlacement(Call* call) {
+  budget_.OnRequest(call->arrived_at, call->service);
+  call->to_target_version = rollouts_->ChooseTarget(call->service);
+  OfferToNextServer(call);
+}
+
+bool Dispatcher::TakePermit(Call* call) {
+  if (call->organisation.empty() || call->nested || call->route.is_public) return true;
+  const OrganisationLimiter::Result result =
+      permits_->Acquire(call->organisation, call->handle, call->deadline);
+  switch (result.outcome) {
+    case OrganisationLimiter::Outcome::kPermitted:
+      return true;
+    case OrganisationLimiter::Outcome::kWaiting:
+      call->waits_for_permit = true;
+      return false;
+    case OrganisationLimiter::Outcome::kRejected:
+      RejectOverLimit(call, result.retry_after);
+      return false;
+  }
+  return false;
+}
+
+void Dispatcher::OnPermit(Handle handle, const OrganisationLimiter::Result& result) {
+  const auto it = calls_.find(handle);
+  if (it == calls_.end() || !it->second->waits_for_permit) return;
+  Call* call = it->second.get();
+  call->waits_for_permit = false;
+  if (result.outcome != OrganisationLimiter::Outcome::kPermitted) {
+    return RejectOverLimit(call, result.retry_after);
+  }
+  if (call->may_have_run) return OfferToNextServer(call);
+  StartPlacement(call);
+}
+
+void Dispatcher::Repeat(Call* call) {
+  call->may_have_run = true;
+  if (TakePermit(call)) OfferToNextServer(call);
+}
+
+void Dispatcher::RejectOverLimit(Call* call, ProxyDuration retry_after) {
+  // 429 tells the caller that the request was not executed.
+  if (call->may_have_run) return Fail(call, kBadGateway, "rate_limited");
+  const auto delay = std::chrono::ceil<milliseconds>(retry_after);
+  const auto held = steady_clock::now() - call->arrived_at;
+  metrics_->Count("rate_limited_total");
+  LogEvent(LogLevel::kInfo, "call", "rate_limited")
+      .Add("request", call->request_id)
+      .Add("organisation", call->organisation)
+      .Add("held_ms", Milliseconds(duration_cast<ProxyDuration>(held)))
+      .Add("retry_after_ms", delay.count());
+  CallerResponse response;
+  response.status = kTooManyRequests;
+  platform::AddRetryAfter(delay, &response.headers);
+  Finish(call, std::move(response));
+}
+
+bool Dispatcher::CheckKey(Call* call, const std::string& key) {
+  const CallerIdentity identity =
+      CallerIdentity::Decide(*config_, call->route, {key, call->request_id, call->nested},
+                             duration_cast<ProxyDuration>(call->arrived_at - started_at_));
+  switch (identity.verdict()) {
+    case CallerIdentity::Verdict::kAccepted:
+      call->organisation = identity.organisation();
+      call->priority = identity.priority();
+      return true;
+    case CallerIdentity::Verdict::kMissingKey:
+    case CallerIdentity::Verdict::kUnknownKey:
+      Fail(call, kUnauthorized, ToString(identity.verdict()));
+      return false;
+    case CallerIdentity::Verdict::kUnknownParent:
+      Refuse(call, ToString(identity.verdict()));
+      return false;
+  }
+  return false;
+}
+
+ServerCandidates Dispatcher::Candidates(const Call& call) const {
   const auto now = steady_clock::now();
   ServerCandidates candidates;
   for (const auto& [node, peer] : directory_->peers()) {
     const UpstreamStatus& status = peer->status;
-    if (!status.ready || status.service != service || !peer->usable()) continue;
+    if (!status.ready || status.service != call.service || !peer->usable()) continue;
     peer->candidate.warm_up = status.warm_up;
     // The sidecar beside the server sees the calls of all senders, this one sees failures on the
     // way.
@@ -147,6 +231,9 @@
                  peer->candidate.load.failure_share * std::exp(-age / decay_time));
     candidates.push_back(&peer->candidate);
   }
+  // A retry would add to the share of the target version.
+  rollouts_->Restrict(call.service, call.to_target_version && call.placement.offers() == 0,
+                      &candidates);
   return candidates;
 }
 
@@ -170,7 +257,7 @@
 }
 
 void Dispatcher::OfferToNextServer(Call* call) {
-  const ServerCandidates candidates = Candidates(call->service);
+  const ServerCandidates candidates = Candidates(*call);
   CallEstimate estimate = estimates_.Get(call->profile);
   estimate.request_bytes = call->request.body.size();
   const std::optional<CallPlacement::Offer> offer = call->placement.NextOffer(
@@ -212,7 +299,9 @@
   offer.time_left = duration_cast<ProxyDuration>(call->deadline - now);
   offer.objective_left = duration_cast<ProxyDuration>(call->objective - now);
   offer.profile = call->profile;
-  offer.priority = call->route.priority;
+  offer.priority = call->priority;
+  offer.organisation = call->organisation;
+  offer.route = rollouts_->RouteHash(call->route.name);
   offer.nested = call->nested;
   offer.idempotent = call->route.idempotent();
   offer.max_wait = max_wait;
@@ -249,8 +338,7 @@
         .Add("request", call->request_id)
         .Add("node", peer->node)
         .Add("status", result.status);
-    call->may_have_run = true;
-    return OfferToNextServer(call);
+    return Repeat(call);
   }
   metrics_->Count("responses_total");
   const auto now = steady_clock::now();
@@ -292,7 +380,7 @@
   const auto now = steady_clock::now();
   if (call->servers_reached >= call->route.max_servers) return false;
   if (call->deadline - now < kMinRetryTime) return false;
-  if (!call->placement.HasAlternative(Candidates(call->service))) return false;
+  if (!call->placement.HasAlternative(Candidates(*call))) return false;
   if (!budget_.TryTake(now, call->service, directory_->size())) {
     metrics_->Count("repeats_without_budget_total");
     return false;
@@ -308,8 +396,7 @@
         .Add("request", call->request_id)
         .Add("node", node)
         .Add("reason", ToString(reason));
-    call->may_have_run = true;
-    return OfferToNextServer(call);
+    return Repeat(call);
   }
   const bool expired = reason == ResultReason::kTimeout || steady_clock::now() >= call->deadline;
   Fail(call, expired ? kGatewayTimeout : kBadGateway, ToString(reason));
@@ -422,6 +509,7 @@
            Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->arrived_at)))
       .Add("offered_ms",
            Milliseconds(duration_cast<ProxyDuration>(steady_clock::now() - call->offered_at)));
+  if (call->waits_for_permit) permits_->Cancel(call->organisation, handle);
   RecordAbandonedOffer(*call);
   CancelOffer(call);
   metrics_->Count("cancelled_total");
--- a/src/libsidecar/dispatcher.h
+++ b/src/libsidecar/dispatcher.h
@@ -17,6 +17,8 @@
 #include "camphorhoist/sidecar_settings.h"
 #include "libbase/mailbox.h"
 #include "libsidecar/peers/peer_directory.h"
+#include "libsidecar/peers/permit_exchange.h"
+#include "libsidecar/rollout/rollout_exchange.h"
 #include "libsidecar/servers/local_upstream.h"
 #include "libsidecar/sidecar_metrics.h"
 
@@ -64,7 +66,8 @@
 
   /// Preconditions: all pointers outlive the dispatcher.
   Dispatcher(event_base* base, const SidecarSettings* settings, uint64_t incarnation,
-             PeerDirectory* directory, LocalUpstream* local, SidecarMetrics* metrics);
+             PeerDirectory* directory, LocalUpstream* local, PermitExchange* permits,
+             RolloutExchange* rollouts, SidecarMetrics* metrics);
 
   void SetConfig(std::shared_ptr<const MeshConfig> config) { config_ = std::move(config); }
   const std::shared_ptr<const MeshConfig>& config() const { return config_; }
@@ -83,6 +86,8 @@
   void OnResult(Peer* peer, CallResult result);
   void OnPeerUp(Peer* peer);
   void OnPeerDown(Peer* peer, bool terminated);
+  /// Continues a call that has waited for a permit of its organisation, or rejects it.
+  void OnPermit(Handle handle, const OrganisationLimiter::Result& result);
 
  private:
   struct Call {
@@ -93,7 +98,14 @@
     /// Made by the upstream on this VM for another call that it is running.
     bool nested = false;
     MeshRoute route;
+    /// Organisation of the caller; empty if it has none.
+    std::string organisation;
+    bool waits_for_permit = false;
+    /// Priority of the organisation or of the route.
+    int priority = 0;
     std::string service;
+    /// The first server is one of the target version of the service's roll-out.
+    bool to_target_version = false;
     uint64_t profile = 0;
     ProxyTime arrived_at{};
     /// Time of the last offer.
@@ -117,11 +129,22 @@
     std::unique_ptr<Timer> reconnect_timer;
   };
 
+  /// Whether the key of the call permits it. If not, finishes the call; otherwise sets its
+  /// organisation and priority.
+  bool CheckKey(Call* call, const std::string& key);
+  /// Takes a permit if the organisation of the call has a limit. Returns false if the call waits
+  /// for one or was rejected.
+  bool TakePermit(Call* call);
+  /// Offers a call again that a server may have executed. This takes another permit.
+  void Repeat(Call* call);
+  void RejectOverLimit(Call* call, ProxyDuration retry_after);
+  /// Starts to offer a call that has passed all checks.
+  void StartPlacement(Call* call);
   const std::string& ChooseService(const MeshRoute& route);
   ProxyDuration PreviousAttemptTime(const MeshRoute& route, uint64_t profile,
                                     ProxyDuration timeout);
   void OfferToNextServer(Call* call);
-  ServerCandidates Candidates(const std::string& service) const;
+  ServerCandidates Candidates(const Call& call) const;
   void Offer(Call* call, Peer* peer, ProxyDuration max_wait);
   void SendOffer(Call* call, Peer* peer, ProxyDuration max_wait);
   void OnNotRun(Call* call, Peer* peer, const CallResult& result);
@@ -147,9 +170,12 @@
   uint64_t incarnation_;
   PeerDirectory* directory_;
   LocalUpstream* local_;
+  PermitExchange* permits_;
+  RolloutExchange* rollouts_;
   SidecarMetrics* metrics_;
   std::shared_ptr<const MeshConfig> config_;
   FleetRetryBudget budget_;
+  ProxyTime started_at_ = std::chrono::steady_clock::now();
   ProxyTime latest_deadline_ = ProxyTime::max();
   std::mt19937_64 rng_;
   Handle next_handle_ = 1;
--- a/src/libsidecar/peers/frame_stream.cc
+++ b/src/libsidecar/peers/frame_stream.cc
@@ -12,10 +12,12 @@
 
 FrameStream::FrameStream(event_base* base, evutil_socket_t fd, Handlers handlers)
     : handlers_(std::move(handlers)),
-      bufev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+      bufev_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)),
+      accepted_(true) {
   TuneSocket(fd, kUnackedTimeout);
   bufferevent_set_max_single_read(bufev_.get(), kSocketReadBytes);
-  bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, nullptr, &FrameStream::OnEvent, this);
+  bufferevent_setcb(bufev_.get(), &FrameStream::OnRead, &FrameStream::OnWritten,
+                    &FrameStream::OnEvent, this);
   bufferevent_enable(bufev_.get(), EV_READ | EV_WRITE);
 }
 
@@ -34,10 +36,36 @@
 
 void FrameStream::Send(PeerMessage message) {
   if (bufev_ == nullptr) return;
-  AppendFrame(std::move(message), bufferevent_get_output(bufev_.get()));
+  AppendFrame(std::move(message), bufferevent_get_output(bufev_.get()), encoding_);
+}
+
+size_t FrameStream::unsent_bytes() const {
+  return bufev_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(bufev_.get()));
+}
+
+bool FrameStream::PauseIfUnread() {
+  if (paused_) return true;
+  if (!accepted_ || unsent_bytes() <= kMaxUnsentBytes) return false;
+  paused_ = true;
+  bufferevent_disable(bufev_.get(), EV_READ);
+  if (handlers_.on_paused) handlers_.on_paused(true);
+  return true;
 }
 
-void FrameStream::Close() { bufev_.reset(); }
+void FrameStream::OnWritten(bufferevent* bufev, void* arg) {
+  auto* self = static_cast<FrameStream*>(arg);
+  if (!self->paused_) return;
+  self->paused_ = false;
+  if (self->handlers_.on_paused) self->handlers_.on_paused(false);
+  if (self->bufev_ == nullptr) return;
+  bufferevent_enable(bufev, EV_READ);
+  bufferevent_trigger(bufev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+}
+
+void FrameStream::Close() {
+  if (bufev_ != nullptr && accepted_) CloseSocket(bufev_.get());
+  bufev_.reset();
+}
 
 void FrameStream::Fail(const std::string& reason) {
   Close();
@@ -50,10 +78,15 @@
   auto* self = static_cast<FrameStream*>(arg);
   self->last_read_ = std::chrono::steady_clock::now();
   evbuffer* input = bufferevent_get_input(bufev);
-  while (self->bufev_ != nullptr) {
+  while (self->bufev_ != nullptr && !self->PauseIfUnread()) {
     PeerMessage message;
     const FrameStatus status = ExtractFrame(input, &message);
-    if (status == FrameStatus::kNeedMore) return;
+    if (status == FrameStatus::kNeedMore) {
+      const bool fits =
+          !self->handlers_.on_partial_frame ||
+          self->handlers_.on_partial_frame(AnnouncedFrameBytes(input), evbuffer_get_length(input));
+      return fits ? void() : self->Fail("no memory");
+    }
     if (status == FrameStatus::kMalformed) return self->Fail("malformed frame");
     self->handlers_.on_message(std::move(message));
   }
--- a/src/libsidecar/peers/frame_stream.h
+++ b/src/libsidecar/peers/frame_stream.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHOIST_LIBSIDECAR_FRAME_STREAM_H_
-#define CAMPHORHOIST_LIBSIDECAR_FRAME_STREAM_H_
+#ifndef CAMPHORHOIST_LIBSIDECAR_PEERS_FRAME_STREAM_H_
+#define CAMPHORHOIST_LIBSIDECAR_PEERS_FRAME_STREAM_H_
 
 #include <chrono>
 #include <functional>
@@ -22,10 +22,20 @@
     std::function<void(PeerMessage)> on_message;
     /// Called last. `reason` is a text for the log.
     std::function<void(const std::string& reason)> on_closed;
+    /// Part of a frame has arrived: `available` of `announced` bytes (0 if its size is not known
+    /// yet). Returns false if there is no memory for it, and the stream is closed. May be empty.
+    std::function<bool(size_t announced, size_t available)> on_partial_frame = nullptr;
+    /// Reading has been paused, since the peer does not read what was sent, or goes on. May be
+    /// empty.
+    std::function<void(bool paused)> on_paused = nullptr;
   };
   /// Data that stays unacknowledged for longer means that the peer or the path has failed.
   static constexpr std::chrono::milliseconds kUnackedTimeout{1000};
 
+  /// An accepted stream does not read while it holds more unsent bytes than this. The other side
+  /// always reads, so that both ends never wait for each other.
+  static constexpr size_t kMaxUnsentBytes = 256 << 10;
+
   /// Takes ownership of an accepted connection.
   FrameStream(event_base* base, evutil_socket_t fd, Handlers handlers);
   /// Connects to `address`; `on_connected` or `on_closed` follows within `timeout`.
@@ -35,11 +45,15 @@
   FrameStream(const FrameStream&) = delete;
   FrameStream& operator=(const FrameStream&) = delete;
 
+  /// Sets the encoding of the frames that are sent from now on. Initially they are plain.
+  void set_encoding(FrameEncoding encoding) { encoding_ = encoding; }
   /// Does nothing once the stream is closed.
   void Send(PeerMessage message);
   /// Closes the connection without calling a handler.
   void Close();
   bool open() const { return bufev_ != nullptr; }
+  /// Number of bytes that the peer has not accepted yet.
+  size_t unsent_bytes() const;
   /// Time at which data was last received.
   std::chrono::steady_clock::time_point last_read() const { return last_read_; }
 
@@ -47,13 +61,19 @@
   static void OnRead(bufferevent* bufev, void* arg);
   static void OnEvent(bufferevent* bufev, short what,  // NOLINT(google-runtime-int): libevent
                       void* arg);
+  static void OnWritten(bufferevent* bufev, void* arg);
+  /// Whether reading is paused; pauses it if too much is unsent.
+  bool PauseIfUnread();
   void Fail(const std::string& reason);
 
   Handlers handlers_;
   BuffereventPtr bufev_;
+  bool accepted_ = false;
+  bool paused_ = false;
+  FrameEncoding encoding_ = FrameEncoding::kPlain;
   std::chrono::steady_clock::time_point last_read_;
 };
 
 }  // namespace camphorhoist
 
-#endif  // CAMPHORHOIST_LIBSIDECAR_FRAME_STREAM_H_
+#endif  // CAMPHORHOIST_LIBSIDECAR_PEERS_FRAME_STREAM_H_
--- a/src/libsidecar/peers/peer.capnp
+++ b/src/libsidecar/peers/peer.capnp
@@ -54,6 +54,58 @@
   hasStart @6 :Bool;
   # Incarnations of upstreams on this VM that must get no more calls.
   departures @7 :List(Incarnation);
+  # Version of the upstream's software; empty if it was not reported.
+  version @8 :Text;
+}
+
+# State of a roll-out.
+struct Rollout {
+  service @0 :Text;
+  newVersion @1 :Text;
+  periodMicros @2 :UInt64;
+  # Time since the order was read first.
+  elapsedMicros @3 :UInt64;
+  era @4 :Int64;
+  revision @5 :Int64;
+  firstRevision @6 :Int64;
+  deleted @7 :Bool;
+  state @8 :UInt8;
+  phase @9 :UInt8;
+}
+
+struct RolloutUpdate {
+  rollout @0 :Rollout;
+  # The sender is the writer of the roll-out, and the other fields are its decision.
+  hasShare @1 :Bool;
+  share @2 :Float64;
+  servers @3 :UInt32;
+  # 0: until the next decision.
+  validForMicros @4 :UInt32;
+}
+
+struct RouteCounts {
+  route @0 :UInt64;
+  responses @1 :UInt64;
+  failures @2 :UInt64;
+  timed @3 :UInt64;
+  logTimeSum @4 :Float64;
+  logTimeSquares @5 :Float64;
+}
+
+# What the server of the sender has done during a roll-out.
+struct RolloutCounts {
+  service @0 :Text;
+  version @1 :Text;
+  generation @2 :UInt64;
+  requests @3 :UInt64;
+  active @4 :UInt32;
+  routes @5 :List(RouteCounts);
+}
+
+# The sender sends requests of the service only to the target version.
+struct RolloutTold {
+  service @0 :Text;
+  newVersion @1 :Text;
 }
 
 # First frame in both directions.
@@ -71,6 +123,13 @@
   storeLost @7 :Bool;
   # Last status of the receiver's upstream that the sender knows.
   receiverUpstream @8 :Upstream;
+  # Newest era of the store that the sender has seen; 0 if none.
+  storeEra @9 :Int64;
+  # The sender reads packed frames.
+  acceptsPacked @10 :Bool;
+  rollouts @11 :List(Rollout);
+  # Organisations that the sender issues permits of.
+  issued @12 :List(Text);
 }
 
 # State of the store as seen by the sender.
@@ -79,6 +138,8 @@
   configVersion @0 :UInt64;
   # The store does not respond to the sender.
   lost @1 :Bool;
+  # Newest era of the store that the sender has seen; 0 if none.
+  era @2 :Int64;
 }
 
 # The body follows the message of the frame.
@@ -107,6 +168,10 @@
   typicalServiceMicros @16 :UInt32;
   # Latency objective of such a call, from the first attempt of its caller.
   objectiveTimeMicros @17 :UInt32;
+  # Organisation of the caller; empty if it has none.
+  organisation @18 :Text;
+  # Hash of the name of the route; 0 if unknown.
+  route @19 :UInt64;
 }
 
 # The body follows the message of the frame, or arrives in separate parts.
@@ -134,6 +199,32 @@
   last @1 :Bool;
 }
 
+# Request to the owner of an organisation for permits to send requests of it.
+struct PermitRequest {
+  organisation @0 :Text;
+  wanted @1 :UInt32;
+  # The sender is the new owner; the receiver shall issue nothing more.
+  takeover @2 :Bool;
+}
+
+struct PermitGrant {
+  organisation @0 :Text;
+  granted @1 :UInt32;
+  validForMicros @2 :UInt32;
+  # Time until other permits are expected.
+  retryAfterMicros @3 :UInt32;
+  # Response to a takeover.
+  takeover @4 :Bool;
+  # The sender was the owner and issues nothing more.
+  released @5 :Bool;
+  # Share of the rate that the previous owner issued.
+  share @6 :Float32;
+  # The sender issues no permits of the organisation.
+  notOwner @7 :Bool;
+  # Time for which the owner issues only a part of the rate.
+  cautiousForMicros @8 :UInt32;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -147,5 +238,14 @@
     # The store has no entry for the receiver.
     entryMissing @8 :Void;
     resultPart @9 :ResultPart;
+    permitRequest @10 :PermitRequest;
+    permitGrant @11 :PermitGrant;
+    # Asks for a configuration that is newer than this version.
+    configRequest @12 :UInt64;
+    # Version of the configuration whose document follows the message of the frame.
+    configDocument @13 :UInt64;
+    rolloutUpdate @14 :RolloutUpdate;
+    rolloutCounts @15 :RolloutCounts;
+    rolloutTold @16 :RolloutTold;
   }
 }
--- a/src/libsidecar/peers/peer.capnp.h
+++ b/src/libsidecar/peers/peer.capnp.h
@@ -21,11 +21,18 @@
 CAPNP_DECLARE_SCHEMA(cbe093b83c6a55dc);
 CAPNP_DECLARE_SCHEMA(c84460aef66a4d78);
 CAPNP_DECLARE_SCHEMA(e18b6ffe674fd1f9);
+CAPNP_DECLARE_SCHEMA(86d944e2261c97b1);
+CAPNP_DECLARE_SCHEMA(e5128ed19822fab8);
+CAPNP_DECLARE_SCHEMA(b7ec8c19c1c43f55);
+CAPNP_DECLARE_SCHEMA(cfaee8289562d67e);
+CAPNP_DECLARE_SCHEMA(e1fd606d084f45c4);
 CAPNP_DECLARE_SCHEMA(87b18b55251da988);
 CAPNP_DECLARE_SCHEMA(bdc5efd493fc873c);
 CAPNP_DECLARE_SCHEMA(a55eb2e64aa6c1cb);
 CAPNP_DECLARE_SCHEMA(af9faef0ddf7d986);
 CAPNP_DECLARE_SCHEMA(9a5491ca6bdf0d0f);
+CAPNP_DECLARE_SCHEMA(eabb9881a0651955);
+CAPNP_DECLARE_SCHEMA(cdecb39b08efeae7);
 CAPNP_DECLARE_SCHEMA(a52fb5302feccdac);
 
 }  // namespace schemas
@@ -102,7 +109,82 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e18b6ffe674fd1f9, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e18b6ffe674fd1f9, 2, 5)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct Rollout {
+  Rollout() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(86d944e2261c97b1, 6, 2)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutUpdate {
+  RolloutUpdate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e5128ed19822fab8, 3, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct RouteCounts {
+  RouteCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7ec8c19c1c43f55, 6, 0)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutCounts {
+  RolloutCounts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cfaee8289562d67e, 3, 3)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct RolloutTold {
+  RolloutTold() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e1fd606d084f45c4, 0, 2)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -117,7 +199,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(87b18b55251da988, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(87b18b55251da988, 4, 7)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -132,7 +214,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bdc5efd493fc873c, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(bdc5efd493fc873c, 3, 0)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -147,7 +229,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a55eb2e64aa6c1cb, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(a55eb2e64aa6c1cb, 6, 9)
 #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
 #endif  // !CAPNP_LITE
@@ -184,6 +266,36 @@
   };
 };
 
+struct PermitRequest {
+  PermitRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eabb9881a0651955, 1, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
+struct PermitGrant {
+  PermitGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cdecb39b08efeae7, 3, 1)
+#if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+#endif  // !CAPNP_LITE
+  };
+};
+
 struct Frame {
   Frame() = delete;
 
@@ -201,6 +313,13 @@
     STORE_STATUS,
     ENTRY_MISSING,
     RESULT_PART,
+    PERMIT_REQUEST,
+    PERMIT_GRANT,
+    CONFIG_REQUEST,
+    CONFIG_DOCUMENT,
+    ROLLOUT_UPDATE,
+    ROLLOUT_COUNTS,
+    ROLLOUT_TOLD,
   };
 
   struct _capnpPrivate {
@@ -625,6 +744,9 @@
   inline ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Reader
   getDepartures() const;
 
+  inline bool hasVersion() const;
+  inline ::capnp::Text::Reader getVersion() const;
+
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -699,6 +821,13 @@
   inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>
   disownDepartures();
 
+  inline bool hasVersion();
+  inline ::capnp::Text::Builder getVersion();
+  inline void setVersion(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownVersion();
+
  private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -727,9 +856,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Hello::Reader {
+class Rollout::Reader {
  public:
-  typedef Hello Reads;
+  typedef Rollout Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
@@ -742,28 +871,27 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode() const;
-  inline ::capnp::Text::Reader getNode() const;
+  inline bool hasService() const;
+  inline ::capnp::Text::Reader getService() const;
 
-  inline ::uint64_t getIncarnation() const;
+  inline bool hasNewVersion() const;
+  inline ::capnp::Text::Reader getNewVersion() const;
 
-  inline bool hasDataCentre() const;
-  inline ::capnp::Text::Reader getDataCentre() const;
+  inline ::uint64_t getPeriodMicros() const;
 
-  inline bool hasAddress() const;
-  inline ::capnp::Text::Reader getAddress() const;
+  inline ::uint64_t getElapsedMicros() const;
 
-  inline ::uint64_t getConfigVersion() const;
+  inline ::int64_t getEra() const;
 
-  inline bool hasUpstream() const;
-  inline ::camphorhoist::peer::Upstream::Reader getUpstream() const;
+  inline ::int64_t getRevision() const;
 
-  inline bool getBulk() const;
+  inline ::int64_t getFirstRevision() const;
 
-  inline bool getStoreLost() const;
+  inline bool getDeleted() const;
 
-  inline bool hasReceiverUpstream() const;
-  inline ::camphorhoist::peer::Upstream::Reader getReceiverUpstream() const;
+  inline ::uint8_t getState() const;
+
+  inline ::uint8_t getPhase() const;
 
  private:
   ::capnp::_::StructReader _reader;
@@ -777,9 +905,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Hello::Builder {
+class Rollout::Builder {
  public:
-  typedef Hello Builds;
+  typedef Rollout Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -793,52 +921,43 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode();
-  inline ::capnp::Text::Builder getNode();
-  inline void setNode(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initNode(unsigned int size);
-  inline void adoptNode(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownNode();
+  inline bool hasService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
-  inline ::uint64_t getIncarnation();
-  inline void setIncarnation(::uint64_t value);
+  inline bool hasNewVersion();
+  inline ::capnp::Text::Builder getNewVersion();
+  inline void setNewVersion(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initNewVersion(unsigned int size);
+  inline void adoptNewVersion(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownNewVersion();
 
-  inline bool hasDataCentre();
-  inline ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
+  inline ::uint64_t getPeriodMicros();
+  inline void setPeriodMicros(::uint64_t value);
 
-  inline bool hasAddress();
-  inline ::capnp::Text::Builder getAddress();
-  inline void setAddress(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownAddress();
+  inline ::uint64_t getElapsedMicros();
+  inline void setElapsedMicros(::uint64_t value);
 
-  inline ::uint64_t getConfigVersion();
-  inline void setConfigVersion(::uint64_t value);
+  inline ::int64_t getEra();
+  inline void setEra(::int64_t value);
 
-  inline bool hasUpstream();
-  inline ::camphorhoist::peer::Upstream::Builder getUpstream();
-  inline void setUpstream(::camphorhoist::peer::Upstream::Reader value);
-  inline ::camphorhoist::peer::Upstream::Builder initUpstream();
-  inline void adoptUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::Upstream> disownUpstream();
+  inline ::int64_t getRevision();
+  inline void setRevision(::int64_t value);
 
-  inline bool getBulk();
-  inline void setBulk(bool value);
+  inline ::int64_t getFirstRevision();
+  inline void setFirstRevision(::int64_t value);
 
-  inline bool getStoreLost();
-  inline void setStoreLost(bool value);
+  inline bool getDeleted();
+  inline void setDeleted(bool value);
 
-  inline bool hasReceiverUpstream();
-  inline ::camphorhoist::peer::Upstream::Builder getReceiverUpstream();
-  inline void setReceiverUpstream(::camphorhoist::peer::Upstream::Reader value);
-  inline ::camphorhoist::peer::Upstream::Builder initReceiverUpstream();
-  inline void adoptReceiverUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::Upstream> disownReceiverUpstream();
+  inline ::uint8_t getState();
+  inline void setState(::uint8_t value);
+
+  inline ::uint8_t getPhase();
+  inline void setPhase(::uint8_t value);
 
  private:
   ::capnp::_::StructBuilder _builder;
@@ -850,17 +969,14 @@
 };
 
 #if !CAPNP_LITE
-class Hello::Pipeline {
+class Rollout::Pipeline {
  public:
-  typedef Hello Pipelines;
+  typedef Rollout Pipelines;
 
   inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::camphorhoist::peer::Upstream::Pipeline getUpstream();
-  inline ::camphorhoist::peer::Upstream::Pipeline getReceiverUpstream();
-
  private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -869,9 +985,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class StoreStatus::Reader {
+class RolloutUpdate::Reader {
  public:
-  typedef StoreStatus Reads;
+  typedef RolloutUpdate Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
@@ -884,9 +1000,16 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getConfigVersion() const;
+  inline bool hasRollout() const;
+  inline ::camphorhoist::peer::Rollout::Reader getRollout() const;
 
-  inline bool getLost() const;
+  inline bool getHasShare() const;
+
+  inline double getShare() const;
+
+  inline ::uint32_t getServers() const;
+
+  inline ::uint32_t getValidForMicros() const;
 
  private:
   ::capnp::_::StructReader _reader;
@@ -900,9 +1023,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class StoreStatus::Builder {
+class RolloutUpdate::Builder {
  public:
-  typedef StoreStatus Builds;
+  typedef RolloutUpdate Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -916,11 +1039,24 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline ::uint64_t getConfigVersion();
-  inline void setConfigVersion(::uint64_t value);
+  inline bool hasRollout();
+  inline ::camphorhoist::peer::Rollout::Builder getRollout();
+  inline void setRollout(::camphorhoist::peer::Rollout::Reader value);
+  inline ::camphorhoist::peer::Rollout::Builder initRollout();
+  inline void adoptRollout(::capnp::Orphan<::camphorhoist::peer::Rollout>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Rollout> disownRollout();
 
-  inline bool getLost();
-  inline void setLost(bool value);
+  inline bool getHasShare();
+  inline void setHasShare(bool value);
+
+  inline double getShare();
+  inline void setShare(double value);
+
+  inline ::uint32_t getServers();
+  inline void setServers(::uint32_t value);
+
+  inline ::uint32_t getValidForMicros();
+  inline void setValidForMicros(::uint32_t value);
 
  private:
   ::capnp::_::StructBuilder _builder;
@@ -932,14 +1068,16 @@
 };
 
 #if !CAPNP_LITE
-class StoreStatus::Pipeline {
+class RolloutUpdate::Pipeline {
  public:
-  typedef StoreStatus Pipelines;
+  typedef RolloutUpdate Pipelines;
 
   inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline ::camphorhoist::peer::Rollout::Pipeline getRollout();
+
  private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -948,9 +1086,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Offer::Reader {
+class RouteCounts::Reader {
  public:
-  typedef Offer Reads;
+  typedef RouteCounts Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
@@ -963,50 +1101,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline ::camphorhoist::peer::CallId::Reader getId() const;
-
-  inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
-
-  inline bool hasInstance() const;
-  inline ::capnp::Text::Reader getInstance() const;
-
-  inline bool hasRequestId() const;
-  inline ::capnp::Text::Reader getRequestId() const;
-
-  inline bool hasMethod() const;
-  inline ::capnp::Text::Reader getMethod() const;
-
-  inline bool hasTarget() const;
-  inline ::capnp::Text::Reader getTarget() const;
-
-  inline bool hasHeaders() const;
-  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
-      const;
-
-  inline bool hasOriginService() const;
-  inline ::capnp::Text::Reader getOriginService() const;
-
-  inline ::uint32_t getTimeLeftMicros() const;
-
-  inline ::int32_t getObjectiveLeftMicros() const;
-
-  inline ::uint64_t getProfile() const;
-
-  inline ::int32_t getPriority() const;
-
-  inline bool getNested() const;
+  inline ::uint64_t getRoute() const;
 
-  inline bool getIdempotent() const;
+  inline ::uint64_t getResponses() const;
 
-  inline ::uint32_t getMaxWaitMicros() const;
+  inline ::uint64_t getFailures() const;
 
-  inline bool getBulk() const;
+  inline ::uint64_t getTimed() const;
 
-  inline ::uint32_t getTypicalServiceMicros() const;
+  inline double getLogTimeSum() const;
 
-  inline ::uint32_t getObjectiveTimeMicros() const;
+  inline double getLogTimeSquares() const;
 
  private:
   ::capnp::_::StructReader _reader;
@@ -1020,9 +1125,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Offer::Builder {
+class RouteCounts::Builder {
  public:
-  typedef Offer Builds;
+  typedef RouteCounts Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1036,95 +1141,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline ::camphorhoist::peer::CallId::Builder getId();
-  inline void setId(::camphorhoist::peer::CallId::Reader value);
-  inline ::camphorhoist::peer::CallId::Builder initId();
-  inline void adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownId();
+  inline ::uint64_t getRoute();
+  inline void setRoute(::uint64_t value);
 
-  inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline ::uint64_t getResponses();
+  inline void setResponses(::uint64_t value);
 
-  inline bool hasInstance();
-  inline ::capnp::Text::Builder getInstance();
-  inline void setInstance(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initInstance(unsigned int size);
-  inline void adoptInstance(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownInstance();
+  inline ::uint64_t getFailures();
+  inline void setFailures(::uint64_t value);
 
-  inline bool hasRequestId();
-  inline ::capnp::Text::Builder getRequestId();
-  inline void setRequestId(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownRequestId();
+  inline ::uint64_t getTimed();
+  inline void setTimed(::uint64_t value);
 
-  inline bool hasMethod();
-  inline ::capnp::Text::Builder getMethod();
-  inline void setMethod(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initMethod(unsigned int size);
-  inline void adoptMethod(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownMethod();
+  inline double getLogTimeSum();
+  inline void setLogTimeSum(double value);
 
-  inline bool hasTarget();
-  inline ::capnp::Text::Builder getTarget();
-  inline void setTarget(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initTarget(unsigned int size);
-  inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownTarget();
-
-  inline bool hasHeaders();
-  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders(
-      ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
-      unsigned int size);
-  inline void adoptHeaders(
-      ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>
-  disownHeaders();
-
-  inline bool hasOriginService();
-  inline ::capnp::Text::Builder getOriginService();
-  inline void setOriginService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initOriginService(unsigned int size);
-  inline void adoptOriginService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownOriginService();
-
-  inline ::uint32_t getTimeLeftMicros();
-  inline void setTimeLeftMicros(::uint32_t value);
-
-  inline ::int32_t getObjectiveLeftMicros();
-  inline void setObjectiveLeftMicros(::int32_t value);
-
-  inline ::uint64_t getProfile();
-  inline void setProfile(::uint64_t value);
-
-  inline ::int32_t getPriority();
-  inline void setPriority(::int32_t value);
-
-  inline bool getNested();
-  inline void setNested(bool value);
-
-  inline bool getIdempotent();
-  inline void setIdempotent(bool value);
-
-  inline ::uint32_t getMaxWaitMicros();
-  inline void setMaxWaitMicros(::uint32_t value);
-
-  inline bool getBulk();
-  inline void setBulk(bool value);
-
-  inline ::uint32_t getTypicalServiceMicros();
-  inline void setTypicalServiceMicros(::uint32_t value);
-
-  inline ::uint32_t getObjectiveTimeMicros();
-  inline void setObjectiveTimeMicros(::uint32_t value);
+  inline double getLogTimeSquares();
+  inline void setLogTimeSquares(double value);
 
  private:
   ::capnp::_::StructBuilder _builder;
@@ -1136,16 +1169,14 @@
 };
 
 #if !CAPNP_LITE
-class Offer::Pipeline {
+class RouteCounts::Pipeline {
  public:
-  typedef Offer Pipelines;
+  typedef RouteCounts Pipelines;
 
   inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::camphorhoist::peer::CallId::Pipeline getId();
-
  private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1154,9 +1185,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Result::Reader {
+class RolloutCounts::Reader {
  public:
-  typedef Result Reads;
+  typedef RolloutCounts Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
@@ -1169,33 +1200,22 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline ::camphorhoist::peer::CallId::Reader getId() const;
+  inline bool hasService() const;
+  inline ::capnp::Text::Reader getService() const;
 
-  inline ::uint8_t getKind() const;
+  inline bool hasVersion() const;
+  inline ::capnp::Text::Reader getVersion() const;
 
-  inline ::uint8_t getReason() const;
+  inline ::uint64_t getGeneration() const;
 
-  inline bool getReachedUpstream() const;
+  inline ::uint64_t getRequests() const;
 
-  inline ::uint16_t getStatus() const;
+  inline ::uint32_t getActive() const;
 
-  inline bool hasHeaders() const;
-  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+  inline bool hasRoutes() const;
+  inline ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>::Reader getRoutes()
       const;
 
-  inline bool hasLoad() const;
-  inline ::camphorhoist::peer::Load::Reader getLoad() const;
-
-  inline ::uint64_t getConfigVersion() const;
-
-  inline ::uint32_t getPartedBytes() const;
-
-  inline ::uint32_t getServiceMicros() const;
-
-  inline bool hasLeaving() const;
-  inline ::camphorhoist::peer::Incarnation::Reader getLeaving() const;
-
  private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1208,9 +1228,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Result::Builder {
+class RolloutCounts::Builder {
  public:
-  typedef Result Builds;
+  typedef RolloutCounts Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1224,58 +1244,41 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline ::camphorhoist::peer::CallId::Builder getId();
-  inline void setId(::camphorhoist::peer::CallId::Reader value);
-  inline ::camphorhoist::peer::CallId::Builder initId();
-  inline void adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownId();
-
-  inline ::uint8_t getKind();
-  inline void setKind(::uint8_t value);
-
-  inline ::uint8_t getReason();
-  inline void setReason(::uint8_t value);
-
-  inline bool getReachedUpstream();
-  inline void setReachedUpstream(bool value);
-
-  inline ::uint16_t getStatus();
-  inline void setStatus(::uint16_t value);
-
-  inline bool hasHeaders();
-  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
-  inline void setHeaders(
-      ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
-      unsigned int size);
-  inline void adoptHeaders(
-      ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>
-  disownHeaders();
-
-  inline bool hasLoad();
-  inline ::camphorhoist::peer::Load::Builder getLoad();
-  inline void setLoad(::camphorhoist::peer::Load::Reader value);
-  inline ::camphorhoist::peer::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan<::camphorhoist::peer::Load>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::Load> disownLoad();
-
-  inline ::uint64_t getConfigVersion();
-  inline void setConfigVersion(::uint64_t value);
-
-  inline ::uint32_t getPartedBytes();
-  inline void setPartedBytes(::uint32_t value);
-
-  inline ::uint32_t getServiceMicros();
-  inline void setServiceMicros(::uint32_t value);
+  inline bool hasService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
-  inline bool hasLeaving();
-  inline ::camphorhoist::peer::Incarnation::Builder getLeaving();
-  inline void setLeaving(::camphorhoist::peer::Incarnation::Reader value);
-  inline ::camphorhoist::peer::Incarnation::Builder initLeaving();
-  inline void adoptLeaving(::capnp::Orphan<::camphorhoist::peer::Incarnation>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::Incarnation> disownLeaving();
+  inline bool hasVersion();
+  inline ::capnp::Text::Builder getVersion();
+  inline void setVersion(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownVersion();
+
+  inline ::uint64_t getGeneration();
+  inline void setGeneration(::uint64_t value);
+
+  inline ::uint64_t getRequests();
+  inline void setRequests(::uint64_t value);
+
+  inline ::uint32_t getActive();
+  inline void setActive(::uint32_t value);
+
+  inline bool hasRoutes();
+  inline ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>::Builder
+  getRoutes();
+  inline void setRoutes(
+      ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>::Builder
+  initRoutes(unsigned int size);
+  inline void adoptRoutes(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>&&
+          value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>
+  disownRoutes();
 
  private:
   ::capnp::_::StructBuilder _builder;
@@ -1287,18 +1290,14 @@
 };
 
 #if !CAPNP_LITE
-class Result::Pipeline {
+class RolloutCounts::Pipeline {
  public:
-  typedef Result Pipelines;
+  typedef RolloutCounts Pipelines;
 
   inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::camphorhoist::peer::CallId::Pipeline getId();
-  inline ::camphorhoist::peer::Load::Pipeline getLoad();
-  inline ::camphorhoist::peer::Incarnation::Pipeline getLeaving();
-
  private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1307,9 +1306,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ResultPart::Reader {
+class RolloutTold::Reader {
  public:
-  typedef ResultPart Reads;
+  typedef RolloutTold Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
@@ -1322,10 +1321,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline ::camphorhoist::peer::CallId::Reader getId() const;
+  inline bool hasService() const;
+  inline ::capnp::Text::Reader getService() const;
 
-  inline bool getLast() const;
+  inline bool hasNewVersion() const;
+  inline ::capnp::Text::Reader getNewVersion() const;
 
  private:
   ::capnp::_::StructReader _reader;
@@ -1339,9 +1339,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ResultPart::Builder {
+class RolloutTold::Builder {
  public:
-  typedef ResultPart Builds;
+  typedef RolloutTold Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1355,15 +1355,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline ::camphorhoist::peer::CallId::Builder getId();
-  inline void setId(::camphorhoist::peer::CallId::Reader value);
-  inline ::camphorhoist::peer::CallId::Builder initId();
-  inline void adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownId();
+  inline bool hasService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
 
-  inline bool getLast();
-  inline void setLast(bool value);
+  inline bool hasNewVersion();
+  inline ::capnp::Text::Builder getNewVersion();
+  inline void setNewVersion(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initNewVersion(unsigned int size);
+  inline void adoptNewVersion(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownNewVersion();
 
  private:
   ::capnp::_::StructBuilder _builder;
@@ -1375,16 +1379,14 @@
 };
 
 #if !CAPNP_LITE
-class ResultPart::Pipeline {
+class RolloutTold::Pipeline {
  public:
-  typedef ResultPart Pipelines;
+  typedef RolloutTold Pipelines;
 
   inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline ::camphorhoist::peer::CallId::Pipeline getId();
-
  private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1393,9 +1395,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Frame::Reader {
+class Hello::Reader {
  public:
-  typedef Frame Reads;
+  typedef Hello Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
@@ -1408,43 +1410,39 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isHello() const;
-  inline bool hasHello() const;
-  inline ::camphorhoist::peer::Hello::Reader getHello() const;
+  inline bool hasNode() const;
+  inline ::capnp::Text::Reader getNode() const;
 
-  inline bool isOffer() const;
-  inline bool hasOffer() const;
-  inline ::camphorhoist::peer::Offer::Reader getOffer() const;
+  inline ::uint64_t getIncarnation() const;
 
-  inline bool isResult() const;
-  inline bool hasResult() const;
-  inline ::camphorhoist::peer::Result::Reader getResult() const;
+  inline bool hasDataCentre() const;
+  inline ::capnp::Text::Reader getDataCentre() const;
 
-  inline bool isCancel() const;
-  inline bool hasCancel() const;
-  inline ::camphorhoist::peer::CallId::Reader getCancel() const;
+  inline bool hasAddress() const;
+  inline ::capnp::Text::Reader getAddress() const;
+
+  inline ::uint64_t getConfigVersion() const;
 
-  inline bool isUpstream() const;
   inline bool hasUpstream() const;
   inline ::camphorhoist::peer::Upstream::Reader getUpstream() const;
 
-  inline bool isPing() const;
-  inline ::uint64_t getPing() const;
+  inline bool getBulk() const;
 
-  inline bool isPong() const;
-  inline ::uint64_t getPong() const;
+  inline bool getStoreLost() const;
 
-  inline bool isStoreStatus() const;
-  inline bool hasStoreStatus() const;
-  inline ::camphorhoist::peer::StoreStatus::Reader getStoreStatus() const;
+  inline bool hasReceiverUpstream() const;
+  inline ::camphorhoist::peer::Upstream::Reader getReceiverUpstream() const;
 
-  inline bool isEntryMissing() const;
-  inline ::capnp::Void getEntryMissing() const;
+  inline ::int64_t getStoreEra() const;
 
-  inline bool isResultPart() const;
-  inline bool hasResultPart() const;
-  inline ::camphorhoist::peer::ResultPart::Reader getResultPart() const;
+  inline bool getAcceptsPacked() const;
+
+  inline bool hasRollouts() const;
+  inline ::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>::Reader getRollouts()
+      const;
+
+  inline bool hasIssued() const;
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getIssued() const;
 
  private:
   ::capnp::_::StructReader _reader;
@@ -1458,9 +1456,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Frame::Builder {
+class Hello::Builder {
  public:
-  typedef Frame Builds;
+  typedef Hello Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1474,40 +1472,33 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isHello();
-  inline bool hasHello();
-  inline ::camphorhoist::peer::Hello::Builder getHello();
-  inline void setHello(::camphorhoist::peer::Hello::Reader value);
-  inline ::camphorhoist::peer::Hello::Builder initHello();
-  inline void adoptHello(::capnp::Orphan<::camphorhoist::peer::Hello>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::Hello> disownHello();
+  inline bool hasNode();
+  inline ::capnp::Text::Builder getNode();
+  inline void setNode(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownNode();
 
-  inline bool isOffer();
-  inline bool hasOffer();
-  inline ::camphorhoist::peer::Offer::Builder getOffer();
-  inline void setOffer(::camphorhoist::peer::Offer::Reader value);
-  inline ::camphorhoist::peer::Offer::Builder initOffer();
-  inline void adoptOffer(::capnp::Orphan<::camphorhoist::peer::Offer>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::Offer> disownOffer();
+  inline ::uint64_t getIncarnation();
+  inline void setIncarnation(::uint64_t value);
 
-  inline bool isResult();
-  inline bool hasResult();
-  inline ::camphorhoist::peer::Result::Builder getResult();
-  inline void setResult(::camphorhoist::peer::Result::Reader value);
-  inline ::camphorhoist::peer::Result::Builder initResult();
-  inline void adoptResult(::capnp::Orphan<::camphorhoist::peer::Result>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::Result> disownResult();
+  inline bool hasDataCentre();
+  inline ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
 
-  inline bool isCancel();
-  inline bool hasCancel();
-  inline ::camphorhoist::peer::CallId::Builder getCancel();
-  inline void setCancel(::camphorhoist::peer::CallId::Reader value);
-  inline ::camphorhoist::peer::CallId::Builder initCancel();
-  inline void adoptCancel(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownCancel();
+  inline bool hasAddress();
+  inline ::capnp::Text::Builder getAddress();
+  inline void setAddress(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownAddress();
+
+  inline ::uint64_t getConfigVersion();
+  inline void setConfigVersion(::uint64_t value);
 
-  inline bool isUpstream();
   inline bool hasUpstream();
   inline ::camphorhoist::peer::Upstream::Builder getUpstream();
   inline void setUpstream(::camphorhoist::peer::Upstream::Reader value);
@@ -1515,493 +1506,2038 @@
   inline void adoptUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value);
   inline ::capnp::Orphan<::camphorhoist::peer::Upstream> disownUpstream();
 
-  inline bool isPing();
-  inline ::uint64_t getPing();
-  inline void setPing(::uint64_t value);
+  inline bool getBulk();
+  inline void setBulk(bool value);
 
-  inline bool isPong();
-  inline ::uint64_t getPong();
-  inline void setPong(::uint64_t value);
+  inline bool getStoreLost();
+  inline void setStoreLost(bool value);
 
-  inline bool isStoreStatus();
-  inline bool hasStoreStatus();
-  inline ::camphorhoist::peer::StoreStatus::Builder getStoreStatus();
-  inline void setStoreStatus(::camphorhoist::peer::StoreStatus::Reader value);
-  inline ::camphorhoist::peer::StoreStatus::Builder initStoreStatus();
-  inline void adoptStoreStatus(::capnp::Orphan<::camphorhoist::peer::StoreStatus>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::StoreStatus> disownStoreStatus();
+  inline bool hasReceiverUpstream();
+  inline ::camphorhoist::peer::Upstream::Builder getReceiverUpstream();
+  inline void setReceiverUpstream(::camphorhoist::peer::Upstream::Reader value);
+  inline ::camphorhoist::peer::Upstream::Builder initReceiverUpstream();
+  inline void adoptReceiverUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Upstream> disownReceiverUpstream();
 
-  inline bool isEntryMissing();
-  inline ::capnp::Void getEntryMissing();
-  inline void setEntryMissing(::capnp::Void value = ::capnp::VOID);
+  inline ::int64_t getStoreEra();
+  inline void setStoreEra(::int64_t value);
+
+  inline bool getAcceptsPacked();
+  inline void setAcceptsPacked(bool value);
+
+  inline bool hasRollouts();
+  inline ::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>::Builder getRollouts();
+  inline void setRollouts(
+      ::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>::Builder initRollouts(
+      unsigned int size);
+  inline void adoptRollouts(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>
+  disownRollouts();
+
+  inline bool hasIssued();
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getIssued();
+  inline void setIssued(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
+  inline void setIssued(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
+  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initIssued(unsigned int size);
+  inline void adoptIssued(
+      ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownIssued();
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Hello::Pipeline {
+ public:
+  typedef Hello Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline ::camphorhoist::peer::Upstream::Pipeline getUpstream();
+  inline ::camphorhoist::peer::Upstream::Pipeline getReceiverUpstream();
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class StoreStatus::Reader {
+ public:
+  typedef StoreStatus Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline ::uint64_t getConfigVersion() const;
+
+  inline bool getLost() const;
+
+  inline ::int64_t getEra() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StoreStatus::Builder {
+ public:
+  typedef StoreStatus Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline ::uint64_t getConfigVersion();
+  inline void setConfigVersion(::uint64_t value);
+
+  inline bool getLost();
+  inline void setLost(bool value);
+
+  inline ::int64_t getEra();
+  inline void setEra(::int64_t value);
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StoreStatus::Pipeline {
+ public:
+  typedef StoreStatus Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Offer::Reader {
+ public:
+  typedef Offer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline ::camphorhoist::peer::CallId::Reader getId() const;
+
+  inline bool hasService() const;
+  inline ::capnp::Text::Reader getService() const;
+
+  inline bool hasInstance() const;
+  inline ::capnp::Text::Reader getInstance() const;
+
+  inline bool hasRequestId() const;
+  inline ::capnp::Text::Reader getRequestId() const;
+
+  inline bool hasMethod() const;
+  inline ::capnp::Text::Reader getMethod() const;
+
+  inline bool hasTarget() const;
+  inline ::capnp::Text::Reader getTarget() const;
+
+  inline bool hasHeaders() const;
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+      const;
+
+  inline bool hasOriginService() const;
+  inline ::capnp::Text::Reader getOriginService() const;
+
+  inline ::uint32_t getTimeLeftMicros() const;
+
+  inline ::int32_t getObjectiveLeftMicros() const;
+
+  inline ::uint64_t getProfile() const;
+
+  inline ::int32_t getPriority() const;
+
+  inline bool getNested() const;
+
+  inline bool getIdempotent() const;
+
+  inline ::uint32_t getMaxWaitMicros() const;
+
+  inline bool getBulk() const;
+
+  inline ::uint32_t getTypicalServiceMicros() const;
+
+  inline ::uint32_t getObjectiveTimeMicros() const;
+
+  inline bool hasOrganisation() const;
+  inline ::capnp::Text::Reader getOrganisation() const;
+
+  inline ::uint64_t getRoute() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Offer::Builder {
+ public:
+  typedef Offer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline ::camphorhoist::peer::CallId::Builder getId();
+  inline void setId(::camphorhoist::peer::CallId::Reader value);
+  inline ::camphorhoist::peer::CallId::Builder initId();
+  inline void adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownId();
+
+  inline bool hasService();
+  inline ::capnp::Text::Builder getService();
+  inline void setService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownService();
+
+  inline bool hasInstance();
+  inline ::capnp::Text::Builder getInstance();
+  inline void setInstance(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownInstance();
+
+  inline bool hasRequestId();
+  inline ::capnp::Text::Builder getRequestId();
+  inline void setRequestId(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownRequestId();
+
+  inline bool hasMethod();
+  inline ::capnp::Text::Builder getMethod();
+  inline void setMethod(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownMethod();
+
+  inline bool hasTarget();
+  inline ::capnp::Text::Builder getTarget();
+  inline void setTarget(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownTarget();
+
+  inline bool hasHeaders();
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
+      unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
+
+  inline bool hasOriginService();
+  inline ::capnp::Text::Builder getOriginService();
+  inline void setOriginService(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initOriginService(unsigned int size);
+  inline void adoptOriginService(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownOriginService();
+
+  inline ::uint32_t getTimeLeftMicros();
+  inline void setTimeLeftMicros(::uint32_t value);
+
+  inline ::int32_t getObjectiveLeftMicros();
+  inline void setObjectiveLeftMicros(::int32_t value);
+
+  inline ::uint64_t getProfile();
+  inline void setProfile(::uint64_t value);
+
+  inline ::int32_t getPriority();
+  inline void setPriority(::int32_t value);
+
+  inline bool getNested();
+  inline void setNested(bool value);
+
+  inline bool getIdempotent();
+  inline void setIdempotent(bool value);
+
+  inline ::uint32_t getMaxWaitMicros();
+  inline void setMaxWaitMicros(::uint32_t value);
+
+  inline bool getBulk();
+  inline void setBulk(bool value);
+
+  inline ::uint32_t getTypicalServiceMicros();
+  inline void setTypicalServiceMicros(::uint32_t value);
+
+  inline ::uint32_t getObjectiveTimeMicros();
+  inline void setObjectiveTimeMicros(::uint32_t value);
+
+  inline bool hasOrganisation();
+  inline ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownOrganisation();
+
+  inline ::uint64_t getRoute();
+  inline void setRoute(::uint64_t value);
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Offer::Pipeline {
+ public:
+  typedef Offer Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline ::camphorhoist::peer::CallId::Pipeline getId();
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Result::Reader {
+ public:
+  typedef Result Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline ::camphorhoist::peer::CallId::Reader getId() const;
+
+  inline ::uint8_t getKind() const;
+
+  inline ::uint8_t getReason() const;
+
+  inline bool getReachedUpstream() const;
+
+  inline ::uint16_t getStatus() const;
+
+  inline bool hasHeaders() const;
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader getHeaders()
+      const;
+
+  inline bool hasLoad() const;
+  inline ::camphorhoist::peer::Load::Reader getLoad() const;
+
+  inline ::uint64_t getConfigVersion() const;
+
+  inline ::uint32_t getPartedBytes() const;
+
+  inline ::uint32_t getServiceMicros() const;
+
+  inline bool hasLeaving() const;
+  inline ::camphorhoist::peer::Incarnation::Reader getLeaving() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Result::Builder {
+ public:
+  typedef Result Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline ::camphorhoist::peer::CallId::Builder getId();
+  inline void setId(::camphorhoist::peer::CallId::Reader value);
+  inline ::camphorhoist::peer::CallId::Builder initId();
+  inline void adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownId();
+
+  inline ::uint8_t getKind();
+  inline void setKind(::uint8_t value);
+
+  inline ::uint8_t getReason();
+  inline void setReason(::uint8_t value);
+
+  inline bool getReachedUpstream();
+  inline void setReachedUpstream(bool value);
+
+  inline ::uint16_t getStatus();
+  inline void setStatus(::uint16_t value);
+
+  inline bool hasHeaders();
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders(
+      ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Reader value);
+  inline ::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>::Builder initHeaders(
+      unsigned int size);
+  inline void adoptHeaders(
+      ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Header, ::capnp::Kind::STRUCT>>
+  disownHeaders();
+
+  inline bool hasLoad();
+  inline ::camphorhoist::peer::Load::Builder getLoad();
+  inline void setLoad(::camphorhoist::peer::Load::Reader value);
+  inline ::camphorhoist::peer::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan<::camphorhoist::peer::Load>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Load> disownLoad();
+
+  inline ::uint64_t getConfigVersion();
+  inline void setConfigVersion(::uint64_t value);
+
+  inline ::uint32_t getPartedBytes();
+  inline void setPartedBytes(::uint32_t value);
+
+  inline ::uint32_t getServiceMicros();
+  inline void setServiceMicros(::uint32_t value);
+
+  inline bool hasLeaving();
+  inline ::camphorhoist::peer::Incarnation::Builder getLeaving();
+  inline void setLeaving(::camphorhoist::peer::Incarnation::Reader value);
+  inline ::camphorhoist::peer::Incarnation::Builder initLeaving();
+  inline void adoptLeaving(::capnp::Orphan<::camphorhoist::peer::Incarnation>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Incarnation> disownLeaving();
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Result::Pipeline {
+ public:
+  typedef Result Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline ::camphorhoist::peer::CallId::Pipeline getId();
+  inline ::camphorhoist::peer::Load::Pipeline getLoad();
+  inline ::camphorhoist::peer::Incarnation::Pipeline getLeaving();
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ResultPart::Reader {
+ public:
+  typedef ResultPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline ::camphorhoist::peer::CallId::Reader getId() const;
+
+  inline bool getLast() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ResultPart::Builder {
+ public:
+  typedef ResultPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline ::camphorhoist::peer::CallId::Builder getId();
+  inline void setId(::camphorhoist::peer::CallId::Reader value);
+  inline ::camphorhoist::peer::CallId::Builder initId();
+  inline void adoptId(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownId();
+
+  inline bool getLast();
+  inline void setLast(bool value);
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ResultPart::Pipeline {
+ public:
+  typedef ResultPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline ::camphorhoist::peer::CallId::Pipeline getId();
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitRequest::Reader {
+ public:
+  typedef PermitRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation() const;
+  inline ::capnp::Text::Reader getOrganisation() const;
+
+  inline ::uint32_t getWanted() const;
+
+  inline bool getTakeover() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitRequest::Builder {
+ public:
+  typedef PermitRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation();
+  inline ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownOrganisation();
+
+  inline ::uint32_t getWanted();
+  inline void setWanted(::uint32_t value);
+
+  inline bool getTakeover();
+  inline void setTakeover(bool value);
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitRequest::Pipeline {
+ public:
+  typedef PermitRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PermitGrant::Reader {
+ public:
+  typedef PermitGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation() const;
+  inline ::capnp::Text::Reader getOrganisation() const;
+
+  inline ::uint32_t getGranted() const;
+
+  inline ::uint32_t getValidForMicros() const;
+
+  inline ::uint32_t getRetryAfterMicros() const;
+
+  inline bool getTakeover() const;
+
+  inline bool getReleased() const;
+
+  inline float getShare() const;
+
+  inline bool getNotOwner() const;
+
+  inline ::uint32_t getCautiousForMicros() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PermitGrant::Builder {
+ public:
+  typedef PermitGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasOrganisation();
+  inline ::capnp::Text::Builder getOrganisation();
+  inline void setOrganisation(::capnp::Text::Reader value);
+  inline ::capnp::Text::Builder initOrganisation(unsigned int size);
+  inline void adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value);
+  inline ::capnp::Orphan<::capnp::Text> disownOrganisation();
+
+  inline ::uint32_t getGranted();
+  inline void setGranted(::uint32_t value);
+
+  inline ::uint32_t getValidForMicros();
+  inline void setValidForMicros(::uint32_t value);
+
+  inline ::uint32_t getRetryAfterMicros();
+  inline void setRetryAfterMicros(::uint32_t value);
+
+  inline bool getTakeover();
+  inline void setTakeover(bool value);
+
+  inline bool getReleased();
+  inline void setReleased(bool value);
+
+  inline float getShare();
+  inline void setShare(float value);
+
+  inline bool getNotOwner();
+  inline void setNotOwner(bool value);
+
+  inline ::uint32_t getCautiousForMicros();
+  inline void setCautiousForMicros(::uint32_t value);
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PermitGrant::Pipeline {
+ public:
+  typedef PermitGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Frame::Reader {
+ public:
+  typedef Frame Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base) : _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isHello() const;
+  inline bool hasHello() const;
+  inline ::camphorhoist::peer::Hello::Reader getHello() const;
+
+  inline bool isOffer() const;
+  inline bool hasOffer() const;
+  inline ::camphorhoist::peer::Offer::Reader getOffer() const;
+
+  inline bool isResult() const;
+  inline bool hasResult() const;
+  inline ::camphorhoist::peer::Result::Reader getResult() const;
+
+  inline bool isCancel() const;
+  inline bool hasCancel() const;
+  inline ::camphorhoist::peer::CallId::Reader getCancel() const;
+
+  inline bool isUpstream() const;
+  inline bool hasUpstream() const;
+  inline ::camphorhoist::peer::Upstream::Reader getUpstream() const;
+
+  inline bool isPing() const;
+  inline ::uint64_t getPing() const;
+
+  inline bool isPong() const;
+  inline ::uint64_t getPong() const;
+
+  inline bool isStoreStatus() const;
+  inline bool hasStoreStatus() const;
+  inline ::camphorhoist::peer::StoreStatus::Reader getStoreStatus() const;
+
+  inline bool isEntryMissing() const;
+  inline ::capnp::Void getEntryMissing() const;
+
+  inline bool isResultPart() const;
+  inline bool hasResultPart() const;
+  inline ::camphorhoist::peer::ResultPart::Reader getResultPart() const;
+
+  inline bool isPermitRequest() const;
+  inline bool hasPermitRequest() const;
+  inline ::camphorhoist::peer::PermitRequest::Reader getPermitRequest() const;
+
+  inline bool isPermitGrant() const;
+  inline bool hasPermitGrant() const;
+  inline ::camphorhoist::peer::PermitGrant::Reader getPermitGrant() const;
+
+  inline bool isConfigRequest() const;
+  inline ::uint64_t getConfigRequest() const;
+
+  inline bool isConfigDocument() const;
+  inline ::uint64_t getConfigDocument() const;
+
+  inline bool isRolloutUpdate() const;
+  inline bool hasRolloutUpdate() const;
+  inline ::camphorhoist::peer::RolloutUpdate::Reader getRolloutUpdate() const;
+
+  inline bool isRolloutCounts() const;
+  inline bool hasRolloutCounts() const;
+  inline ::camphorhoist::peer::RolloutCounts::Reader getRolloutCounts() const;
+
+  inline bool isRolloutTold() const;
+  inline bool hasRolloutTold() const;
+  inline ::camphorhoist::peer::RolloutTold::Reader getRolloutTold() const;
+
+ private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Frame::Builder {
+ public:
+  typedef Frame Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base) : _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isHello();
+  inline bool hasHello();
+  inline ::camphorhoist::peer::Hello::Builder getHello();
+  inline void setHello(::camphorhoist::peer::Hello::Reader value);
+  inline ::camphorhoist::peer::Hello::Builder initHello();
+  inline void adoptHello(::capnp::Orphan<::camphorhoist::peer::Hello>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Hello> disownHello();
+
+  inline bool isOffer();
+  inline bool hasOffer();
+  inline ::camphorhoist::peer::Offer::Builder getOffer();
+  inline void setOffer(::camphorhoist::peer::Offer::Reader value);
+  inline ::camphorhoist::peer::Offer::Builder initOffer();
+  inline void adoptOffer(::capnp::Orphan<::camphorhoist::peer::Offer>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Offer> disownOffer();
+
+  inline bool isResult();
+  inline bool hasResult();
+  inline ::camphorhoist::peer::Result::Builder getResult();
+  inline void setResult(::camphorhoist::peer::Result::Reader value);
+  inline ::camphorhoist::peer::Result::Builder initResult();
+  inline void adoptResult(::capnp::Orphan<::camphorhoist::peer::Result>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Result> disownResult();
+
+  inline bool isCancel();
+  inline bool hasCancel();
+  inline ::camphorhoist::peer::CallId::Builder getCancel();
+  inline void setCancel(::camphorhoist::peer::CallId::Reader value);
+  inline ::camphorhoist::peer::CallId::Builder initCancel();
+  inline void adoptCancel(::capnp::Orphan<::camphorhoist::peer::CallId>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::CallId> disownCancel();
+
+  inline bool isUpstream();
+  inline bool hasUpstream();
+  inline ::camphorhoist::peer::Upstream::Builder getUpstream();
+  inline void setUpstream(::camphorhoist::peer::Upstream::Reader value);
+  inline ::camphorhoist::peer::Upstream::Builder initUpstream();
+  inline void adoptUpstream(::capnp::Orphan<::camphorhoist::peer::Upstream>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::Upstream> disownUpstream();
+
+  inline bool isPing();
+  inline ::uint64_t getPing();
+  inline void setPing(::uint64_t value);
+
+  inline bool isPong();
+  inline ::uint64_t getPong();
+  inline void setPong(::uint64_t value);
+
+  inline bool isStoreStatus();
+  inline bool hasStoreStatus();
+  inline ::camphorhoist::peer::StoreStatus::Builder getStoreStatus();
+  inline void setStoreStatus(::camphorhoist::peer::StoreStatus::Reader value);
+  inline ::camphorhoist::peer::StoreStatus::Builder initStoreStatus();
+  inline void adoptStoreStatus(::capnp::Orphan<::camphorhoist::peer::StoreStatus>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::StoreStatus> disownStoreStatus();
+
+  inline bool isEntryMissing();
+  inline ::capnp::Void getEntryMissing();
+  inline void setEntryMissing(::capnp::Void value = ::capnp::VOID);
+
+  inline bool isResultPart();
+  inline bool hasResultPart();
+  inline ::camphorhoist::peer::ResultPart::Builder getResultPart();
+  inline void setResultPart(::camphorhoist::peer::ResultPart::Reader value);
+  inline ::camphorhoist::peer::ResultPart::Builder initResultPart();
+  inline void adoptResultPart(::capnp::Orphan<::camphorhoist::peer::ResultPart>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::ResultPart> disownResultPart();
+
+  inline bool isPermitRequest();
+  inline bool hasPermitRequest();
+  inline ::camphorhoist::peer::PermitRequest::Builder getPermitRequest();
+  inline void setPermitRequest(::camphorhoist::peer::PermitRequest::Reader value);
+  inline ::camphorhoist::peer::PermitRequest::Builder initPermitRequest();
+  inline void adoptPermitRequest(::capnp::Orphan<::camphorhoist::peer::PermitRequest>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::PermitRequest> disownPermitRequest();
+
+  inline bool isPermitGrant();
+  inline bool hasPermitGrant();
+  inline ::camphorhoist::peer::PermitGrant::Builder getPermitGrant();
+  inline void setPermitGrant(::camphorhoist::peer::PermitGrant::Reader value);
+  inline ::camphorhoist::peer::PermitGrant::Builder initPermitGrant();
+  inline void adoptPermitGrant(::capnp::Orphan<::camphorhoist::peer::PermitGrant>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::PermitGrant> disownPermitGrant();
+
+  inline bool isConfigRequest();
+  inline ::uint64_t getConfigRequest();
+  inline void setConfigRequest(::uint64_t value);
+
+  inline bool isConfigDocument();
+  inline ::uint64_t getConfigDocument();
+  inline void setConfigDocument(::uint64_t value);
+
+  inline bool isRolloutUpdate();
+  inline bool hasRolloutUpdate();
+  inline ::camphorhoist::peer::RolloutUpdate::Builder getRolloutUpdate();
+  inline void setRolloutUpdate(::camphorhoist::peer::RolloutUpdate::Reader value);
+  inline ::camphorhoist::peer::RolloutUpdate::Builder initRolloutUpdate();
+  inline void adoptRolloutUpdate(::capnp::Orphan<::camphorhoist::peer::RolloutUpdate>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::RolloutUpdate> disownRolloutUpdate();
+
+  inline bool isRolloutCounts();
+  inline bool hasRolloutCounts();
+  inline ::camphorhoist::peer::RolloutCounts::Builder getRolloutCounts();
+  inline void setRolloutCounts(::camphorhoist::peer::RolloutCounts::Reader value);
+  inline ::camphorhoist::peer::RolloutCounts::Builder initRolloutCounts();
+  inline void adoptRolloutCounts(::capnp::Orphan<::camphorhoist::peer::RolloutCounts>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::RolloutCounts> disownRolloutCounts();
+
+  inline bool isRolloutTold();
+  inline bool hasRolloutTold();
+  inline ::camphorhoist::peer::RolloutTold::Builder getRolloutTold();
+  inline void setRolloutTold(::camphorhoist::peer::RolloutTold::Reader value);
+  inline ::camphorhoist::peer::RolloutTold::Builder initRolloutTold();
+  inline void adoptRolloutTold(::capnp::Orphan<::camphorhoist::peer::RolloutTold>&& value);
+  inline ::capnp::Orphan<::camphorhoist::peer::RolloutTold> disownRolloutTold();
+
+ private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Frame::Pipeline {
+ public:
+  typedef Frame Pipelines;
+
+  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+ private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasName() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setName(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setValue(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t CallId::Reader::getOrigin() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t CallId::Builder::getOrigin() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CallId::Builder::setOrigin(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t CallId::Reader::getCounter() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t CallId::Builder::getCounter() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CallId::Builder::setCounter(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint16_t Load::Reader::getRunning() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t Load::Builder::getRunning() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRunning(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint16_t Load::Reader::getQueued() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t Load::Builder::getQueued() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setQueued(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint16_t Load::Reader::getLimit() const {
+  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint16_t Load::Builder::getLimit() {
+  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setLimit(::uint16_t value) {
+  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t Load::Reader::getServiceMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Load::Builder::getServiceMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setServiceMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t Load::Reader::getWaitMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Load::Builder::getWaitMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setWaitMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t Load::Reader::getDeliveryMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Load::Builder::getDeliveryMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setDeliveryMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t Load::Reader::getRequestIntervalMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Load::Builder::getRequestIntervalMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRequestIntervalMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t Load::Reader::getPermitMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Load::Builder::getPermitMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setPermitMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline float Load::Reader::getRelativeServiceTime() const {
+  return _reader.getDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 1065353216u);
+}
+
+inline float Load::Builder::getRelativeServiceTime() {
+  return _builder.getDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 1065353216u);
+}
+inline void Load::Builder::setRelativeServiceTime(float value) {
+  _builder.setDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value, 1065353216u);
+}
+
+inline float Load::Reader::getFailureShare() const {
+  return _reader.getDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline float Load::Builder::getFailureShare() {
+  return _builder.getDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setFailureShare(float value) {
+  _builder.setDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Incarnation::Reader::hasInstance() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Incarnation::Builder::hasInstance() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Incarnation::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Incarnation::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Incarnation::Builder::setInstance(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Incarnation::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Incarnation::Builder::adoptInstance(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Incarnation::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::int64_t Incarnation::Reader::getStartedMs() const {
+  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Incarnation::Builder::getStartedMs() {
+  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Incarnation::Builder::setStartedMs(::int64_t value) {
+  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Incarnation::Reader::getHasStart() const {
+  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Incarnation::Builder::getHasStart() {
+  return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Incarnation::Builder::setHasStart(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Upstream::Reader::hasService() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Upstream::Builder::hasService() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Upstream::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Upstream::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Upstream::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Upstream::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Upstream::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Upstream::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Upstream::Reader::hasInstance() const {
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Upstream::Builder::hasInstance() {
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Upstream::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Upstream::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Upstream::Builder::setInstance(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Upstream::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Upstream::Builder::adoptInstance(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Upstream::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Upstream::Reader::getReady() const {
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Upstream::Builder::getReady() {
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Upstream::Builder::setReady(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t Upstream::Reader::getWarmUpMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Upstream::Builder::getWarmUpMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Upstream::Builder::setWarmUpMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Upstream::Reader::hasLoad() const {
+  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Upstream::Builder::hasLoad() {
+  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::Load::Reader Upstream::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::get(
+      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::Load::Builder Upstream::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::get(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::camphorhoist::peer::Load::Pipeline Upstream::Pipeline::getLoad() {
+  return ::camphorhoist::peer::Load::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Upstream::Builder::setLoad(::camphorhoist::peer::Load::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::set(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::Load::Builder Upstream::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::init(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Upstream::Builder::adoptLoad(::capnp::Orphan<::camphorhoist::peer::Load>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::adopt(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::Load> Upstream::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::disown(
+      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+}
 
-  inline bool isResultPart();
-  inline bool hasResultPart();
-  inline ::camphorhoist::peer::ResultPart::Builder getResultPart();
-  inline void setResultPart(::camphorhoist::peer::ResultPart::Reader value);
-  inline ::camphorhoist::peer::ResultPart::Builder initResultPart();
-  inline void adoptResultPart(::capnp::Orphan<::camphorhoist::peer::ResultPart>&& value);
-  inline ::capnp::Orphan<::camphorhoist::peer::ResultPart> disownResultPart();
+inline ::int64_t Upstream::Reader::getStartedMs() const {
+  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
- private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+inline ::int64_t Upstream::Builder::getStartedMs() {
+  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Upstream::Builder::setStartedMs(::int64_t value) {
+  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
 
-#if !CAPNP_LITE
-class Frame::Pipeline {
- public:
-  typedef Frame Pipelines;
+inline bool Upstream::Reader::getHasStart() const {
+  return _reader.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
 
-  inline Pipeline(decltype(nullptr)) : _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+inline bool Upstream::Builder::getHasStart() {
+  return _builder.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Upstream::Builder::setHasStart(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
 
- private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+inline bool Upstream::Reader::hasDepartures() const {
+  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Upstream::Builder::hasDepartures() {
+  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Reader
+Upstream::Reader::getDepartures() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Builder
+Upstream::Builder::getDepartures() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Upstream::Builder::setDepartures(
+    ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Builder
+Upstream::Builder::initDepartures(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Upstream::Builder::adoptDepartures(
+    ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>
+Upstream::Builder::disownDepartures() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+}
 
-// =======================================================================================
+inline bool Upstream::Reader::hasVersion() const {
+  return !_reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Upstream::Builder::hasVersion() {
+  return !_builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Upstream::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Upstream::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Upstream::Builder::setVersion(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Upstream::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Upstream::Builder::adoptVersion(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Upstream::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
+}
 
-inline bool Header::Reader::hasName() const {
+inline bool Rollout::Reader::hasService() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasName() {
+inline bool Rollout::Builder::hasService() {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Header::Reader::getName() const {
+inline ::capnp::Text::Reader Rollout::Reader::getService() const {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Header::Builder::getName() {
+inline ::capnp::Text::Builder Rollout::Builder::getService() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setName(::capnp::Text::Reader value) {
+inline void Rollout::Builder::setService(::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+inline ::capnp::Text::Builder Rollout::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptName(::capnp::Orphan<::capnp::Text>&& value) {
+inline void Rollout::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownName() {
+inline ::capnp::Orphan<::capnp::Text> Rollout::Builder::disownService() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Header::Reader::hasValue() const {
+inline bool Rollout::Reader::hasNewVersion() const {
   return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Header::Builder::hasValue() {
+inline bool Rollout::Builder::hasNewVersion() {
   return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Header::Reader::getValue() const {
+inline ::capnp::Text::Reader Rollout::Reader::getNewVersion() const {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Header::Builder::getValue() {
+inline ::capnp::Text::Builder Rollout::Builder::getNewVersion() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Header::Builder::setValue(::capnp::Text::Reader value) {
+inline void Rollout::Builder::setNewVersion(::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+inline ::capnp::Text::Builder Rollout::Builder::initNewVersion(unsigned int size) {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Header::Builder::adoptValue(::capnp::Orphan<::capnp::Text>&& value) {
+inline void Rollout::Builder::adoptNewVersion(::capnp::Orphan<::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Header::Builder::disownValue() {
+inline ::capnp::Orphan<::capnp::Text> Rollout::Builder::disownNewVersion() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t CallId::Reader::getOrigin() const {
+inline ::uint64_t Rollout::Reader::getPeriodMicros() const {
   return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t CallId::Builder::getOrigin() {
+inline ::uint64_t Rollout::Builder::getPeriodMicros() {
   return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CallId::Builder::setOrigin(::uint64_t value) {
+inline void Rollout::Builder::setPeriodMicros(::uint64_t value) {
   _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t CallId::Reader::getCounter() const {
+inline ::uint64_t Rollout::Reader::getElapsedMicros() const {
   return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t CallId::Builder::getCounter() {
+inline ::uint64_t Rollout::Builder::getElapsedMicros() {
   return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void CallId::Builder::setCounter(::uint64_t value) {
+inline void Rollout::Builder::setElapsedMicros(::uint64_t value) {
   _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Load::Reader::getRunning() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t Rollout::Reader::getEra() const {
+  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Load::Builder::getRunning() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::int64_t Rollout::Builder::getEra() {
+  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setRunning(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setEra(::int64_t value) {
+  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Load::Reader::getQueued() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::int64_t Rollout::Reader::getRevision() const {
+  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Load::Builder::getQueued() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::int64_t Rollout::Builder::getRevision() {
+  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setQueued(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setRevision(::int64_t value) {
+  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint16_t Load::Reader::getLimit() const {
-  return _reader.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::int64_t Rollout::Reader::getFirstRevision() const {
+  return _reader.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint16_t Load::Builder::getLimit() {
-  return _builder.getDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::int64_t Rollout::Builder::getFirstRevision() {
+  return _builder.getDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setLimit(::uint16_t value) {
-  _builder.setDataField<::uint16_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setFirstRevision(::int64_t value) {
+  _builder.setDataField<::int64_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Load::Reader::getServiceMicros() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Rollout::Reader::getDeleted() const {
+  return _reader.getDataField<bool>(::capnp::bounded<320>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Load::Builder::getServiceMicros() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool Rollout::Builder::getDeleted() {
+  return _builder.getDataField<bool>(::capnp::bounded<320>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setServiceMicros(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setDeleted(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<320>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Load::Reader::getWaitMicros() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint8_t Rollout::Reader::getState() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<41>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Load::Builder::getWaitMicros() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline ::uint8_t Rollout::Builder::getState() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<41>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setWaitMicros(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setState(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<41>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Load::Reader::getDeliveryMicros() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint8_t Rollout::Reader::getPhase() const {
+  return _reader.getDataField<::uint8_t>(::capnp::bounded<42>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Load::Builder::getDeliveryMicros() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline ::uint8_t Rollout::Builder::getPhase() {
+  return _builder.getDataField<::uint8_t>(::capnp::bounded<42>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setDeliveryMicros(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void Rollout::Builder::setPhase(::uint8_t value) {
+  _builder.setDataField<::uint8_t>(::capnp::bounded<42>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Load::Reader::getRequestIntervalMicros() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool RolloutUpdate::Reader::hasRollout() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RolloutUpdate::Builder::hasRollout() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::Rollout::Reader RolloutUpdate::Reader::getRollout() const {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Rollout>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::Rollout::Builder RolloutUpdate::Builder::getRollout() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Rollout>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline ::camphorhoist::peer::Rollout::Pipeline RolloutUpdate::Pipeline::getRollout() {
+  return ::camphorhoist::peer::Rollout::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RolloutUpdate::Builder::setRollout(::camphorhoist::peer::Rollout::Reader value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Rollout>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::Rollout::Builder RolloutUpdate::Builder::initRollout() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Rollout>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RolloutUpdate::Builder::adoptRollout(
+    ::capnp::Orphan<::camphorhoist::peer::Rollout>&& value) {
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::Rollout>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::Rollout> RolloutUpdate::Builder::disownRollout() {
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Rollout>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint32_t Load::Builder::getRequestIntervalMicros() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline bool RolloutUpdate::Reader::getHasShare() const {
+  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setRequestIntervalMicros(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+
+inline bool RolloutUpdate::Builder::getHasShare() {
+  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RolloutUpdate::Builder::setHasShare(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Load::Reader::getPermitMicros() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline double RolloutUpdate::Reader::getShare() const {
+  return _reader.getDataField<double>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Load::Builder::getPermitMicros() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline double RolloutUpdate::Builder::getShare() {
+  return _builder.getDataField<double>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setPermitMicros(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void RolloutUpdate::Builder::setShare(double value) {
+  _builder.setDataField<double>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline float Load::Reader::getRelativeServiceTime() const {
-  return _reader.getDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 1065353216u);
+inline ::uint32_t RolloutUpdate::Reader::getServers() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline float Load::Builder::getRelativeServiceTime() {
-  return _builder.getDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, 1065353216u);
+inline ::uint32_t RolloutUpdate::Builder::getServers() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setRelativeServiceTime(float value) {
-  _builder.setDataField<float>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value, 1065353216u);
+inline void RolloutUpdate::Builder::setServers(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline float Load::Reader::getFailureShare() const {
-  return _reader.getDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint32_t RolloutUpdate::Reader::getValidForMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline float Load::Builder::getFailureShare() {
-  return _builder.getDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint32_t RolloutUpdate::Builder::getValidForMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Load::Builder::setFailureShare(float value) {
-  _builder.setDataField<float>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void RolloutUpdate::Builder::setValidForMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Incarnation::Reader::hasInstance() const {
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline ::uint64_t RouteCounts::Reader::getRoute() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Incarnation::Builder::hasInstance() {
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+
+inline ::uint64_t RouteCounts::Builder::getRoute() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RouteCounts::Builder::setRoute(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint64_t RouteCounts::Reader::getResponses() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t RouteCounts::Builder::getResponses() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Reader Incarnation::Reader::getInstance() const {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void RouteCounts::Builder::setResponses(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Text::Builder Incarnation::Builder::getInstance() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline ::uint64_t RouteCounts::Reader::getFailures() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Incarnation::Builder::setInstance(::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+
+inline ::uint64_t RouteCounts::Builder::getFailures() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder Incarnation::Builder::initInstance(unsigned int size) {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void RouteCounts::Builder::setFailures(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void Incarnation::Builder::adoptInstance(::capnp::Orphan<::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline ::uint64_t RouteCounts::Reader::getTimed() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan<::capnp::Text> Incarnation::Builder::disownInstance() {
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline ::uint64_t RouteCounts::Builder::getTimed() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RouteCounts::Builder::setTimed(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t Incarnation::Reader::getStartedMs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline double RouteCounts::Reader::getLogTimeSum() const {
+  return _reader.getDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t Incarnation::Builder::getStartedMs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline double RouteCounts::Builder::getLogTimeSum() {
+  return _builder.getDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Incarnation::Builder::setStartedMs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RouteCounts::Builder::setLogTimeSum(double value) {
+  _builder.setDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Incarnation::Reader::getHasStart() const {
-  return _reader.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline double RouteCounts::Reader::getLogTimeSquares() const {
+  return _reader.getDataField<double>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline bool Incarnation::Builder::getHasStart() {
-  return _builder.getDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline double RouteCounts::Builder::getLogTimeSquares() {
+  return _builder.getDataField<double>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Incarnation::Builder::setHasStart(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void RouteCounts::Builder::setLogTimeSquares(double value) {
+  _builder.setDataField<double>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Upstream::Reader::hasService() const {
+inline bool RolloutCounts::Reader::hasService() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Upstream::Builder::hasService() {
+inline bool RolloutCounts::Builder::hasService() {
   return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Upstream::Reader::getService() const {
+inline ::capnp::Text::Reader RolloutCounts::Reader::getService() const {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Upstream::Builder::getService() {
+inline ::capnp::Text::Builder RolloutCounts::Builder::getService() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Upstream::Builder::setService(::capnp::Text::Reader value) {
+inline void RolloutCounts::Builder::setService(::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Upstream::Builder::initService(unsigned int size) {
+inline ::capnp::Text::Builder RolloutCounts::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Upstream::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+inline void RolloutCounts::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Upstream::Builder::disownService() {
+inline ::capnp::Orphan<::capnp::Text> RolloutCounts::Builder::disownService() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Upstream::Reader::hasInstance() const {
+inline bool RolloutCounts::Reader::hasVersion() const {
   return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Upstream::Builder::hasInstance() {
+inline bool RolloutCounts::Builder::hasVersion() {
   return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader Upstream::Reader::getInstance() const {
+inline ::capnp::Text::Reader RolloutCounts::Reader::getVersion() const {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder Upstream::Builder::getInstance() {
+inline ::capnp::Text::Builder RolloutCounts::Builder::getVersion() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::get(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Upstream::Builder::setInstance(::capnp::Text::Reader value) {
+inline void RolloutCounts::Builder::setVersion(::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::set(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder Upstream::Builder::initInstance(unsigned int size) {
+inline ::capnp::Text::Builder RolloutCounts::Builder::initVersion(unsigned int size) {
   return ::capnp::_::PointerHelpers<::capnp::Text>::init(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Upstream::Builder::adoptInstance(::capnp::Orphan<::capnp::Text>&& value) {
+inline void RolloutCounts::Builder::adoptVersion(::capnp::Orphan<::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> Upstream::Builder::disownInstance() {
+inline ::capnp::Orphan<::capnp::Text> RolloutCounts::Builder::disownVersion() {
   return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
       _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Upstream::Reader::getReady() const {
-  return _reader.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t RolloutCounts::Reader::getGeneration() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool Upstream::Builder::getReady() {
-  return _builder.getDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::uint64_t RolloutCounts::Builder::getGeneration() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Upstream::Builder::setReady(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void RolloutCounts::Builder::setGeneration(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Upstream::Reader::getWarmUpMicros() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t RolloutCounts::Reader::getRequests() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Upstream::Builder::getWarmUpMicros() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::uint64_t RolloutCounts::Builder::getRequests() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Upstream::Builder::setWarmUpMicros(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void RolloutCounts::Builder::setRequests(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Upstream::Reader::hasLoad() const {
+inline ::uint32_t RolloutCounts::Reader::getActive() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t RolloutCounts::Builder::getActive() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RolloutCounts::Builder::setActive(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RolloutCounts::Reader::hasRoutes() const {
   return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Upstream::Builder::hasLoad() {
+inline bool RolloutCounts::Builder::hasRoutes() {
   return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline ::camphorhoist::peer::Load::Reader Upstream::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::get(
-      _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::camphorhoist::peer::Load::Builder Upstream::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::get(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>::Reader
+RolloutCounts::Reader::getRoutes() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline ::camphorhoist::peer::Load::Pipeline Upstream::Pipeline::getLoad() {
-  return ::camphorhoist::peer::Load::Pipeline(_typeless.getPointerField(2));
+inline ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>::Builder
+RolloutCounts::Builder::getRoutes() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void Upstream::Builder::setLoad(::camphorhoist::peer::Load::Reader value) {
-  ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::set(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void RolloutCounts::Builder::setRoutes(
+    ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>::set(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline ::camphorhoist::peer::Load::Builder Upstream::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::init(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>::Builder
+RolloutCounts::Builder::initRoutes(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Upstream::Builder::adoptLoad(::capnp::Orphan<::camphorhoist::peer::Load>&& value) {
-  ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::adopt(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void RolloutCounts::Builder::adoptRoutes(
+    ::capnp::Orphan<::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>&&
+        value) {
+  ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::camphorhoist::peer::Load> Upstream::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers<::camphorhoist::peer::Load>::disown(
-      _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>
+RolloutCounts::Builder::disownRoutes() {
+  return ::capnp::_::PointerHelpers<
+      ::capnp::List<::camphorhoist::peer::RouteCounts, ::capnp::Kind::STRUCT>>::
+      disown(_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t Upstream::Reader::getStartedMs() const {
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RolloutTold::Reader::hasService() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline ::int64_t Upstream::Builder::getStartedMs() {
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool RolloutTold::Builder::hasService() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Upstream::Builder::setStartedMs(::int64_t value) {
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Text::Reader RolloutTold::Reader::getService() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool Upstream::Reader::getHasStart() const {
-  return _reader.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline ::capnp::Text::Builder RolloutTold::Builder::getService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool Upstream::Builder::getHasStart() {
-  return _builder.getDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline void RolloutTold::Builder::setService(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Upstream::Builder::setHasStart(bool value) {
-  _builder.setDataField<bool>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Text::Builder RolloutTold::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RolloutTold::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> RolloutTold::Builder::disownService() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Upstream::Reader::hasDepartures() const {
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool RolloutTold::Reader::hasNewVersion() const {
+  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Upstream::Builder::hasDepartures() {
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline bool RolloutTold::Builder::hasNewVersion() {
+  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Reader
-Upstream::Reader::getDepartures() const {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::get(
-          _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Reader RolloutTold::Reader::getNewVersion() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Builder
-Upstream::Builder::getDepartures() {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::get(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Text::Builder RolloutTold::Builder::getNewVersion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Upstream::Builder::setDepartures(
-    ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::
-      PointerHelpers<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::set(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void RolloutTold::Builder::setNewVersion(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>::Builder
-Upstream::Builder::initDepartures(unsigned int size) {
-  return ::capnp::_::
-      PointerHelpers<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::init(
-          _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline ::capnp::Text::Builder RolloutTold::Builder::initNewVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Upstream::Builder::adoptDepartures(
-    ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>&&
-        value) {
-  ::capnp::_::PointerHelpers<
-      ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::
-      adopt(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void RolloutTold::Builder::adoptNewVersion(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>
-Upstream::Builder::disownDepartures() {
-  return ::capnp::_::PointerHelpers<
-      ::capnp::List<::camphorhoist::peer::Incarnation, ::capnp::Kind::STRUCT>>::
-      disown(_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan<::capnp::Text> RolloutTold::Builder::disownNewVersion() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline bool Hello::Reader::hasNode() const {
@@ -2214,6 +3750,108 @@
       _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline ::int64_t Hello::Reader::getStoreEra() const {
+  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t Hello::Builder::getStoreEra() {
+  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setStoreEra(::int64_t value) {
+  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::getAcceptsPacked() const {
+  return _reader.getDataField<bool>(::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+
+inline bool Hello::Builder::getAcceptsPacked() {
+  return _builder.getDataField<bool>(::capnp::bounded<130>() * ::capnp::ELEMENTS);
+}
+inline void Hello::Builder::setAcceptsPacked(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Hello::Reader::hasRollouts() const {
+  return !_reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasRollouts() {
+  return !_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>::Reader
+Hello::Reader::getRollouts() const {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>::get(
+          _reader.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>::Builder
+Hello::Builder::getRollouts() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>::get(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setRollouts(
+    ::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>::
+      set(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>::Builder
+Hello::Builder::initRollouts(unsigned int size) {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>::init(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptRollouts(
+    ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>::
+      adopt(_builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>
+Hello::Builder::disownRollouts() {
+  return ::capnp::_::
+      PointerHelpers<::capnp::List<::camphorhoist::peer::Rollout, ::capnp::Kind::STRUCT>>::disown(
+          _builder.getPointerField(::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool Hello::Reader::hasIssued() const {
+  return !_reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Hello::Builder::hasIssued() {
+  return !_builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader Hello::Reader::getIssued() const {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _reader.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder Hello::Builder::getIssued() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Hello::Builder::setIssued(
+    ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void Hello::Builder::setIssued(::kj::ArrayPtr<const ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder Hello::Builder::initIssued(
+    unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Hello::Builder::adoptIssued(
+    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
+Hello::Builder::disownIssued() {
+  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
+      _builder.getPointerField(::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline ::uint64_t StoreStatus::Reader::getConfigVersion() const {
   return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
@@ -2236,6 +3874,17 @@
   _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline ::int64_t StoreStatus::Reader::getEra() const {
+  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::int64_t StoreStatus::Builder::getEra() {
+  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StoreStatus::Builder::setEra(::int64_t value) {
+  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Offer::Reader::hasId() const {
   return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
@@ -2598,15 +4247,57 @@
   _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t Offer::Reader::getObjectiveTimeMicros() const {
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint32_t Offer::Reader::getObjectiveTimeMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t Offer::Builder::getObjectiveTimeMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Offer::Builder::setObjectiveTimeMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Offer::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Offer::Builder::hasOrganisation() {
+  return !_builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader Offer::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder Offer::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Offer::Builder::setOrganisation(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder Offer::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Offer::Builder::adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> Offer::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline ::uint64_t Offer::Reader::getRoute() const {
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t Offer::Builder::getObjectiveTimeMicros() {
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline ::uint64_t Offer::Builder::getRoute() {
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Offer::Builder::setObjectiveTimeMicros(::uint32_t value) {
-  _builder.setDataField<::uint32_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Offer::Builder::setRoute(::uint64_t value) {
+  _builder.setDataField<::uint64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Result::Reader::hasId() const {
@@ -2883,6 +4574,178 @@
   _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PermitRequest::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitRequest::Builder::hasOrganisation() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader PermitRequest::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PermitRequest::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitRequest::Builder::setOrganisation(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PermitRequest::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitRequest::Builder::adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PermitRequest::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint32_t PermitRequest::Reader::getWanted() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PermitRequest::Builder::getWanted() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setWanted(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitRequest::Reader::getTakeover() const {
+  return _reader.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitRequest::Builder::getTakeover() {
+  return _builder.getDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void PermitRequest::Builder::setTakeover(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitGrant::Reader::hasOrganisation() const {
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitGrant::Builder::hasOrganisation() {
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::capnp::Text::Reader PermitGrant::Reader::getOrganisation() const {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::capnp::Text::Builder PermitGrant::Builder::getOrganisation() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitGrant::Builder::setOrganisation(::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::capnp::Text::Builder PermitGrant::Builder::initOrganisation(unsigned int size) {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitGrant::Builder::adoptOrganisation(::capnp::Orphan<::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::capnp::Text> PermitGrant::Builder::disownOrganisation() {
+  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline ::uint32_t PermitGrant::Reader::getGranted() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PermitGrant::Builder::getGranted() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setGranted(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t PermitGrant::Reader::getValidForMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PermitGrant::Builder::getValidForMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setValidForMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t PermitGrant::Reader::getRetryAfterMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PermitGrant::Builder::getRetryAfterMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setRetryAfterMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitGrant::Reader::getTakeover() const {
+  return _reader.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitGrant::Builder::getTakeover() {
+  return _builder.getDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setTakeover(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitGrant::Reader::getReleased() const {
+  return _reader.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitGrant::Builder::getReleased() {
+  return _builder.getDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setReleased(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
+inline float PermitGrant::Reader::getShare() const {
+  return _reader.getDataField<float>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline float PermitGrant::Builder::getShare() {
+  return _builder.getDataField<float>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setShare(float value) {
+  _builder.setDataField<float>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitGrant::Reader::getNotOwner() const {
+  return _reader.getDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitGrant::Builder::getNotOwner() {
+  return _builder.getDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setNotOwner(bool value) {
+  _builder.setDataField<bool>(::capnp::bounded<98>() * ::capnp::ELEMENTS, value);
+}
+
+inline ::uint32_t PermitGrant::Reader::getCautiousForMicros() const {
+  return _reader.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint32_t PermitGrant::Builder::getCautiousForMicros() {
+  return _builder.getDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PermitGrant::Builder::setCautiousForMicros(::uint32_t value) {
+  _builder.setDataField<::uint32_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline ::camphorhoist::peer::Frame::Which Frame::Reader::which() const {
   return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
