@@ -3242,6 +5105,284 @@
       _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Frame::Reader::isPermitRequest() const { return which() == Frame::PERMIT_REQUEST; }
+inline bool Frame::Builder::isPermitRequest() { return which() == Frame::PERMIT_REQUEST; }
+inline bool Frame::Reader::hasPermitRequest() const {
+  if (which() != Frame::PERMIT_REQUEST) return false;
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasPermitRequest() {
+  if (which() != Frame::PERMIT_REQUEST) return false;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::PermitRequest::Reader Frame::Reader::getPermitRequest() const {
+  KJ_IREQUIRE((which() == Frame::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitRequest>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::PermitRequest::Builder Frame::Builder::getPermitRequest() {
+  KJ_IREQUIRE((which() == Frame::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitRequest>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setPermitRequest(::camphorhoist::peer::PermitRequest::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitRequest>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::PermitRequest::Builder Frame::Builder::initPermitRequest() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::PERMIT_REQUEST);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitRequest>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptPermitRequest(
+    ::capnp::Orphan<::camphorhoist::peer::PermitRequest>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::PERMIT_REQUEST);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitRequest>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::PermitRequest> Frame::Builder::disownPermitRequest() {
+  KJ_IREQUIRE((which() == Frame::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitRequest>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isPermitGrant() const { return which() == Frame::PERMIT_GRANT; }
+inline bool Frame::Builder::isPermitGrant() { return which() == Frame::PERMIT_GRANT; }
+inline bool Frame::Reader::hasPermitGrant() const {
+  if (which() != Frame::PERMIT_GRANT) return false;
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasPermitGrant() {
+  if (which() != Frame::PERMIT_GRANT) return false;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::PermitGrant::Reader Frame::Reader::getPermitGrant() const {
+  KJ_IREQUIRE((which() == Frame::PERMIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitGrant>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::PermitGrant::Builder Frame::Builder::getPermitGrant() {
+  KJ_IREQUIRE((which() == Frame::PERMIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitGrant>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setPermitGrant(::camphorhoist::peer::PermitGrant::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::PERMIT_GRANT);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitGrant>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::PermitGrant::Builder Frame::Builder::initPermitGrant() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::PERMIT_GRANT);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitGrant>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptPermitGrant(
+    ::capnp::Orphan<::camphorhoist::peer::PermitGrant>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::PERMIT_GRANT);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitGrant>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::PermitGrant> Frame::Builder::disownPermitGrant() {
+  KJ_IREQUIRE((which() == Frame::PERMIT_GRANT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::PermitGrant>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isConfigRequest() const { return which() == Frame::CONFIG_REQUEST; }
+inline bool Frame::Builder::isConfigRequest() { return which() == Frame::CONFIG_REQUEST; }
+inline ::uint64_t Frame::Reader::getConfigRequest() const {
+  KJ_IREQUIRE((which() == Frame::CONFIG_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Frame::Builder::getConfigRequest() {
+  KJ_IREQUIRE((which() == Frame::CONFIG_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setConfigRequest(::uint64_t value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::CONFIG_REQUEST);
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Frame::Reader::isConfigDocument() const { return which() == Frame::CONFIG_DOCUMENT; }
+inline bool Frame::Builder::isConfigDocument() { return which() == Frame::CONFIG_DOCUMENT; }
+inline ::uint64_t Frame::Reader::getConfigDocument() const {
+  KJ_IREQUIRE((which() == Frame::CONFIG_DOCUMENT),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline ::uint64_t Frame::Builder::getConfigDocument() {
+  KJ_IREQUIRE((which() == Frame::CONFIG_DOCUMENT),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Frame::Builder::setConfigDocument(::uint64_t value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::CONFIG_DOCUMENT);
+  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Frame::Reader::isRolloutUpdate() const { return which() == Frame::ROLLOUT_UPDATE; }
+inline bool Frame::Builder::isRolloutUpdate() { return which() == Frame::ROLLOUT_UPDATE; }
+inline bool Frame::Reader::hasRolloutUpdate() const {
+  if (which() != Frame::ROLLOUT_UPDATE) return false;
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasRolloutUpdate() {
+  if (which() != Frame::ROLLOUT_UPDATE) return false;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::RolloutUpdate::Reader Frame::Reader::getRolloutUpdate() const {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutUpdate>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::RolloutUpdate::Builder Frame::Builder::getRolloutUpdate() {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutUpdate>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setRolloutUpdate(::camphorhoist::peer::RolloutUpdate::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_UPDATE);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutUpdate>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::RolloutUpdate::Builder Frame::Builder::initRolloutUpdate() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_UPDATE);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutUpdate>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptRolloutUpdate(
+    ::capnp::Orphan<::camphorhoist::peer::RolloutUpdate>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_UPDATE);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutUpdate>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::RolloutUpdate> Frame::Builder::disownRolloutUpdate() {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_UPDATE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutUpdate>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isRolloutCounts() const { return which() == Frame::ROLLOUT_COUNTS; }
+inline bool Frame::Builder::isRolloutCounts() { return which() == Frame::ROLLOUT_COUNTS; }
+inline bool Frame::Reader::hasRolloutCounts() const {
+  if (which() != Frame::ROLLOUT_COUNTS) return false;
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasRolloutCounts() {
+  if (which() != Frame::ROLLOUT_COUNTS) return false;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::RolloutCounts::Reader Frame::Reader::getRolloutCounts() const {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_COUNTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutCounts>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::RolloutCounts::Builder Frame::Builder::getRolloutCounts() {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_COUNTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutCounts>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setRolloutCounts(::camphorhoist::peer::RolloutCounts::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_COUNTS);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutCounts>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::RolloutCounts::Builder Frame::Builder::initRolloutCounts() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_COUNTS);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutCounts>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptRolloutCounts(
+    ::capnp::Orphan<::camphorhoist::peer::RolloutCounts>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_COUNTS);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutCounts>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::RolloutCounts> Frame::Builder::disownRolloutCounts() {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_COUNTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutCounts>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Frame::Reader::isRolloutTold() const { return which() == Frame::ROLLOUT_TOLD; }
+inline bool Frame::Builder::isRolloutTold() { return which() == Frame::ROLLOUT_TOLD; }
+inline bool Frame::Reader::hasRolloutTold() const {
+  if (which() != Frame::ROLLOUT_TOLD) return false;
+  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Frame::Builder::hasRolloutTold() {
+  if (which() != Frame::ROLLOUT_TOLD) return false;
+  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline ::camphorhoist::peer::RolloutTold::Reader Frame::Reader::getRolloutTold() const {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_TOLD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutTold>::get(
+      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline ::camphorhoist::peer::RolloutTold::Builder Frame::Builder::getRolloutTold() {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_TOLD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutTold>::get(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::setRolloutTold(::camphorhoist::peer::RolloutTold::Reader value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_TOLD);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutTold>::set(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline ::camphorhoist::peer::RolloutTold::Builder Frame::Builder::initRolloutTold() {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_TOLD);
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutTold>::init(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Frame::Builder::adoptRolloutTold(
+    ::capnp::Orphan<::camphorhoist::peer::RolloutTold>&& value) {
+  _builder.setDataField<Frame::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
+                                      Frame::ROLLOUT_TOLD);
+  ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutTold>::adopt(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan<::camphorhoist::peer::RolloutTold> Frame::Builder::disownRolloutTold() {
+  KJ_IREQUIRE((which() == Frame::ROLLOUT_TOLD),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers<::camphorhoist::peer::RolloutTold>::disown(
+      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace peer
 }  // namespace camphorhoist
 
--- a/src/libsidecar/peers/peer_directory.cc
+++ b/src/libsidecar/peers/peer_directory.cc
@@ -73,6 +73,32 @@
   raw->bulk_link = NewLink(raw, address, true);
 }
 
+void PeerDirectory::OnHello(const PeerHello& hello) {
+  Peer* peer = Find(hello.node);
+  if (peer == nullptr || peer->local()) return;
+  peer->config_version = hello.config_version;
+  if (peer->up()) return;
+  peer->terminated = false;
+  peer->link->RetryNow();
+}
+
+void PeerDirectory::SetStopped(const std::string& node, bool stopped, bool lost) {
+  Peer* peer = Find(node);
+  if (peer == nullptr) return;
+  peer->stopped = stopped;
+  peer->lost = lost;
+}
+
+std::set<std::string> PeerDirectory::LostSince(std::chrono::steady_clock::time_point time) const {
+  std::set<std::string> nodes;
+  for (const auto& [node, peer] : peers_) {
+    if (peer->listed && !peer->stopped && !peer->up() && peer->down_since <= time) {
+      nodes.insert(node);
+    }
+  }
+  return nodes;
+}
+
 void PeerDirectory::OnEntryRemoved(const std::string& node) {
   Peer* peer = Find(node);
   if (peer == nullptr || peer->local()) return;
@@ -119,6 +145,7 @@
 void PeerDirectory::OnUp(Peer* peer, const PeerHello& hello) {
   if (hello.node != peer->node) {
     // The address now belongs to another VM.
+    peer->replaced = true;
     LogEvent(LogLevel::kWarn, "peers", "wrong_node")
         .Add("expected", peer->node)
         .Add("found", hello.node);
@@ -128,17 +155,25 @@
       .Add("node", peer->node)
       .Add("incarnation", hello.incarnation)
       .Add("upstream", hello.upstream.instance);
+  peer->replaced = false;
   peer->candidate.data_centre = hello.data_centre;
   peer->incarnation = hello.incarnation;
+  peer->was_up = true;
+  peer->terminated = false;
   peer->store_lost = hello.store_lost;
+  peer->config_version = hello.config_version;
+  handlers_.on_hello(hello);
   SetStatus(peer, hello.upstream);
   peer->bulk_link->RetryNow();
-  handlers_.on_up(peer);
+  handlers_.on_up(peer, hello);
 }
 
 void PeerDirectory::OnDown(Peer* peer, bool terminated, const std::string& reason) {
   const bool was_up = peer->status.ready;
+  if (peer->was_up) peer->down_since = std::chrono::steady_clock::now();
+  peer->was_up = false;
   peer->status.ready = false;
+  peer->terminated = peer->terminated || terminated;
   if (was_up) {
     LogEvent(LogLevel::kWarn, "peers", "down").Add("node", peer->node).Add("reason", reason);
   }
--- a/src/libsidecar/peers/peer_directory.h
+++ b/src/libsidecar/peers/peer_directory.h
@@ -1,10 +1,12 @@
-#ifndef CAMPHORHOIST_LIBSIDECAR_PEER_DIRECTORY_H_
-#define CAMPHORHOIST_LIBSIDECAR_PEER_DIRECTORY_H_
+#ifndef CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_DIRECTORY_H_
+#define CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_DIRECTORY_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,10 +32,24 @@
   ServerCandidate candidate;
   /// Share of this sidecar's recent calls that the peer's upstream failed.
   FailureShare failure_share{kFailureShareEwmaWeight};
+  /// The process at the address has ended, and no other one has been reached there since.
+  bool terminated = false;
   /// Has an entry in the store.
   bool listed = false;
+  /// Its entry states that the process has stopped, and no other one has been started since.
+  bool stopped = false;
+  /// Its entry was read when other sidecars had not reached it for some seconds.
+  bool lost = false;
+  /// It has been reached since its connection was lost last.
+  bool was_up = false;
+  /// Time since which it has not been reached.
+  std::chrono::steady_clock::time_point down_since = std::chrono::steady_clock::now();
+  /// The address was found to belong to another VM.
+  bool replaced = false;
   /// Has reported that the store does not respond to it.
   bool store_lost = false;
+  /// Newest configuration version that the peer has reported.
+  uint64_t config_version = 0;
   /// Both are null for this sidecar itself.
   std::unique_ptr<PeerLink> link;
   /// Large responses use a separate connection, so that short messages do not queue behind them.
@@ -53,10 +69,12 @@
   struct Handlers {
     std::function<PeerHello()> hello;
     std::function<void(Peer*, PeerMessage)> on_message;
-    /// The peer is reachable (again); its `incarnation` is that of the hello.
-    std::function<void(Peer*)> on_up;
+    /// The peer is reachable (again); its `incarnation` is that of `hello`.
+    std::function<void(Peer*, const PeerHello& hello)> on_up;
     /// `terminated`: the process at the peer's address has ended, or the peer was removed.
     std::function<void(Peer*, bool terminated)> on_down;
+    /// A hello has arrived, before the peer's upstream may be used.
+    std::function<void(const PeerHello&)> on_hello;
   };
 
   PeerDirectory(event_base* base, Handlers handlers);
@@ -69,6 +87,13 @@
   /// store.
   void AddOrUpdate(const std::string& node, const NetAddress& address,
                    const std::string& data_centre, bool listed);
+  /// Called with each entry of the sidecar in the store. `stopped`, `lost`: see `Peer`.
+  void SetStopped(const std::string& node, bool stopped, bool lost);
+  /// Returns the sidecars with an entry that have not been reached since `time`.
+  std::set<std::string> LostSince(std::chrono::steady_clock::time_point time) const;
+  /// Called when a sidecar has opened a connection to this one. Its process is alive; a lost
+  /// connection to it is opened again at once.
+  void OnHello(const PeerHello& hello);
   /// Called when the entry of a sidecar was removed from the store. The sidecar stays known while
   /// it is reachable.
   void OnEntryRemoved(const std::string& node);
@@ -109,4 +134,4 @@
 
 }  // namespace camphorhoist
 
-#endif  // CAMPHORHOIST_LIBSIDECAR_PEER_DIRECTORY_H_
+#endif  // CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_DIRECTORY_H_
--- a/src/libsidecar/peers/peer_link.cc
+++ b/src/libsidecar/peers/peer_link.cc
@@ -37,6 +37,7 @@
   if (const auto* hello = std::get_if<PeerHello>(&message)) {
     up_ = true;
     retry_delay_ = kMinRetryDelay;
+    stream_->set_encoding(EncodingBetween(handlers_.hello(), *hello));
     return handlers_.on_up(*hello);
   }
   if (!up_) return;
@@ -83,14 +84,21 @@
   return steady_clock::now() - std::max(monitored_since_, stream_->last_read());
 }
 
+bool PeerLink::ExpectsData() const {
+  return outstanding_ > 0 || is_monitored_ || steady_clock::now() < probed_until_;
+}
+
 void PeerLink::CheckLiveness() {
-  if (!connected_ || (up_ && outstanding_ == 0)) return;
+  if (!connected_ || (up_ && !ExpectsData())) return;
   const auto time_without_data = TimeWithoutData();
   if (time_without_data >= no_data_timeout_) {
     stream_->Close();
     return OnClosed("silent");
   }
-  if (up_ && time_without_data >= kPingInterval) stream_->Send(PeerPing{});
+  const bool is_urgent = outstanding_ > 0 || steady_clock::now() < probed_until_;
+  if (up_ && time_without_data >= (is_urgent ? kPingInterval : kMonitoredPingInterval)) {
+    stream_->Send(PeerPing{});
+  }
 }
 
 void PeerLink::Send(PeerMessage message) {
@@ -101,10 +109,20 @@
 bool PeerLink::suspect() const { return outstanding_ > 0 && TimeWithoutData() >= kSuspectTimeout; }
 
 void PeerLink::AddOutstanding(int delta) {
-  if (outstanding_ == 0) monitored_since_ = steady_clock::now();
+  if (!ExpectsData()) monitored_since_ = steady_clock::now();
   outstanding_ += delta;
 }
 
+void PeerLink::SetMonitored(bool monitored) {
+  if (monitored && !ExpectsData()) monitored_since_ = steady_clock::now();
+  is_monitored_ = monitored;
+}
+
+void PeerLink::Probe() {
+  if (!ExpectsData()) monitored_since_ = steady_clock::now();
+  probed_until_ = steady_clock::now() + no_data_timeout_ + 2 * kPingInterval;
+}
+
 void PeerLink::RetryNow() {
   if (retry_timer_.pending()) retry_timer_.StartOnce(std::chrono::microseconds(0));
 }
--- a/src/libsidecar/peers/peer_link.h
+++ b/src/libsidecar/peers/peer_link.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHOIST_LIBSIDECAR_PEER_LINK_H_
-#define CAMPHORHOIST_LIBSIDECAR_PEER_LINK_H_
+#ifndef CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_LINK_H_
+#define CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_LINK_H_
 
 #include <chrono>
 #include <functional>
@@ -35,6 +35,8 @@
   static constexpr std::chrono::milliseconds kMaxRetryDelay{1000};
   /// While calls are outstanding, a peer that has sent nothing for this long is pinged.
   static constexpr std::chrono::milliseconds kPingInterval{100};
+  /// The same for a peer that is monitored although no calls are outstanding.
+  static constexpr std::chrono::milliseconds kMonitoredPingInterval{250};
   /// A peer that has sent nothing for this long receives no further calls for now.
   static constexpr std::chrono::milliseconds kSuspectTimeout{220};
   /// A peer that has sent nothing for this long is considered unreachable over this connection.
@@ -55,6 +57,10 @@
   const NetAddress& address() const { return address_; }
   /// Changes the number of outstanding calls; the peer is monitored while it is above 0.
   void AddOutstanding(int delta);
+  /// Sets whether the peer is also monitored while no calls are outstanding.
+  void SetMonitored(bool monitored);
+  /// Monitors the peer for `no_data_timeout` and two pings.
+  void Probe();
   /// Connects immediately if the link is waiting to reconnect.
   void RetryNow();
   /// Expects data while the peer's hello or results of calls are outstanding: closes the connection
@@ -68,6 +74,8 @@
   void OnPart(const ResultPart& part);
   void OnClosed(const std::string& reason);
   std::chrono::steady_clock::duration TimeWithoutData() const;
+  /// Whether data is expected from a peer whose hello has arrived.
+  bool ExpectsData() const;
 
   event_base* base_;
   NetAddress address_;
@@ -79,6 +87,8 @@
   bool connected_ = false;
   bool up_ = false;
   int outstanding_ = 0;
+  bool is_monitored_ = false;
+  std::chrono::steady_clock::time_point probed_until_;
   /// Results whose bodies have not arrived completely.
   std::unordered_map<CallId, CallResult> incomplete_results_;
   /// Time since which data from the peer is expected.
@@ -87,4 +97,4 @@
 
 }  // namespace camphorhoist
 
-#endif  // CAMPHORHOIST_LIBSIDECAR_PEER_LINK_H_
+#endif  // CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_LINK_H_
--- a/src/libsidecar/peers/peer_messages.h
+++ b/src/libsidecar/peers/peer_messages.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHOIST_LIBSIDECAR_PEER_MESSAGES_H_
-#define CAMPHORHOIST_LIBSIDECAR_PEER_MESSAGES_H_
+#ifndef CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_MESSAGES_H_
+#define CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_MESSAGES_H_
 
 #include <event2/buffer.h>
 
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include "camphorhoist/call_id.h"
+#include "camphorhoist/permit_issuer.h"
+#include "camphorhoist/rollout_book.h"
 #include "camphorhoist/server_queue.h"
 #include "camphorhoist/upstream_registry.h"
 #include "libbase/http_client.h"
@@ -29,6 +31,8 @@
   ServerLoad load;
   /// Incarnations of upstreams on this VM that must get no more calls.
   std::vector<UpstreamDeparture> departures;
+  /// Version of the upstream's software; empty if it was not reported.
+  std::string version;
 };
 
 /// First message in both directions of a connection between sidecars.
@@ -45,9 +49,18 @@
   bool bulk = false;
   /// The store does not respond to the sender.
   bool store_lost = false;
+  /// Newest era of the store that the sender has seen; 0 if none.
+  int64_t store_era = 0;
   /// Last status of the receiver's upstream that the sender knows, so that a receiver that has
   /// just started learns the rate limit and the departures of its upstream.
   UpstreamStatus receiver_upstream;
+  /// The sender reads packed frames. Earlier versions do not.
+  bool accepts_packed = true;
+  /// Roll-outs that the sender knows, so that a receiver that has just started knows them before it
+  /// sends requests to the sender's upstream.
+  std::vector<RolloutRecord> rollouts;
+  /// Organisations that the sender issues permits of.
+  std::vector<std::string> issued;
 };
 
 /// State of the store as seen by the sender.
@@ -56,6 +69,8 @@
   uint64_t config_version = 0;
   /// The store does not respond to the sender, so that another sidecar should watch it.
   bool lost = false;
+  /// Newest era of the store that the sender has seen; 0 if none.
+  int64_t era = 0;
 };
 
 /// The store has no entry for the receiver, which has to write it again.
@@ -90,6 +105,10 @@
   ProxyDuration typical_service_time{};
   /// Latency objective of such a call, from the first attempt of its caller.
   ProxyDuration objective_time{};
+  /// Organisation of the caller; empty if it has none.
+  std::string organisation;
+  /// Hash of the name of the route; 0 if unknown.
+  uint64_t route = 0;
 };
 
 enum class ResultKind : uint8_t {
@@ -148,6 +167,37 @@
   bool last = false;
 };
 
+/// Asks for the configuration, for a sidecar to which the store does not respond.
+struct ConfigRequest {
+  /// Version that the sender holds; 0 if it holds none.
+  uint64_t held_version = 0;
+};
+
+/// A configuration as the store holds it.
+struct ConfigDocument {
+  uint64_t version = 0;
+  std::string body;
+};
+
+/// News about a roll-out.
+struct RolloutUpdate {
+  RolloutRecord record;
+  /// Set by the writer of the roll-out only. The verdict is in the phase of the record.
+  std::optional<RolloutDecision> decision;
+};
+
+/// What the server of the sender has done during the roll-out of its service.
+struct RolloutCounts {
+  std::string service;
+  ServerCounts counts;
+};
+
+/// Response to a `RolloutUpdate`: the sender sends requests of the service only to this version.
+struct RolloutTold {
+  std::string service;
+  std::string target_version;
+};
+
 struct CallCancel {
   CallId id;
 };
@@ -158,23 +208,41 @@
   uint64_t number = 0;
 };
 
-using PeerMessage = std::variant<PeerHello, CallOffer, CallResult, CallCancel, UpstreamStatus,
-                                 PeerPing, PeerPong, StoreStatus, EntryMissing, ResultPart>;
+using PeerMessage =
+    std::variant<PeerHello, CallOffer, CallResult, CallCancel, UpstreamStatus, PeerPing, PeerPong,
+                 StoreStatus, EntryMissing, ResultPart, PermitRequest, PermitGrant, ConfigRequest,
+                 ConfigDocument, RolloutUpdate, RolloutCounts, RolloutTold>;
 
 /// Maximum frame size; bounds the memory that a faulty peer can make this process allocate.
 inline constexpr size_t kMaxFrameBytes = 96 << 20;
 
+/// Encoding of the Cap'n Proto message of a frame. Half of the bytes of a plain message are zero.
+enum class FrameEncoding : uint8_t { kPlain, kPacked };
+
+/// Maximum size of an unpacked message: bounds the memory that a small packed message can make this
+/// process allocate. Larger messages are sent plain.
+inline constexpr size_t kMaxUnpackedBytes = 256 << 10;
+
+/// Returns the encoding of frames from the sender of `own` to that of `peer`. Only traffic between
+/// data centres is billed, so that packing is not worth its processor time within one.
+FrameEncoding EncodingBetween(const PeerHello& own, const PeerHello& peer);
+
 /// Appends `message` as one frame: the sizes of the Cap'n Proto message and of the body as 32-bit
-/// little-endian numbers, then the message, then the body. A large body is not copied.
-void AppendFrame(PeerMessage message, evbuffer* output);
+/// little-endian numbers, then the message, then the body. The highest bit of the first number is
+/// set if the message is packed. A large body is not copied.
+void AppendFrame(PeerMessage message, evbuffer* output,
+                 FrameEncoding encoding = FrameEncoding::kPlain);
 
 /// Appends a body; a large one is not copied.
 void AppendBody(std::string body, evbuffer* output);
 
+/// Size of the frame that `input` starts with, including its header; 0 if the header is incomplete.
+size_t AnnouncedFrameBytes(evbuffer* input);
+
 enum class FrameStatus : uint8_t { kMessage, kNeedMore, kMalformed };
 /// Removes the next frame from `input`. `*message` is set with `kMessage` only.
 FrameStatus ExtractFrame(evbuffer* input, PeerMessage* message);
 
 }  // namespace camphorhoist
 
-#endif  // CAMPHORHOIST_LIBSIDECAR_PEER_MESSAGES_H_
+#endif  // CAMPHORHOIST_LIBSIDECAR_PEERS_PEER_MESSAGES_H_
--- a/src/libsidecar/servers/local_upstream.cc
+++ b/src/libsidecar/servers/local_upstream.cc
@@ -1,8 +1,10 @@
 #include "libsidecar/servers/local_upstream.h"
 
 #include <algorithm>
+#include <string_view>
 #include <vector>
 
+#include "camphorhoist/caller_identity.h"
 #include "libbase/log.h"
 #include "platform/message_headers.h"
 
@@ -155,6 +157,7 @@
     status.service = registry_.current()->service;
     status.instance = registry_.current()->instance;
     status.started_ms = registry_.current()->started_ms;
+    status.version = registry_.current()->version;
   }
   status.departures.assign(registry_.departures().begin(), registry_.departures().end());
   status.ready = !stopping_ && registry_.ready(now);
@@ -164,9 +167,8 @@
 }
 
 bool LocalUpstream::IsRunningParentOf(const std::string& request_id) const {
-  const size_t separator = request_id.find_last_of(".:/_-");
-  if (separator == std::string::npos) return false;
-  return running_request_ids_.count(request_id.substr(0, separator)) != 0;
+  const std::optional<std::string_view> parent = ParentRequestId(request_id);
+  return parent && running_request_ids_.count(std::string(*parent)) != 0;
 }
 
 CallResult LocalUpstream::NewResult(const CallId& id, ResultKind kind, ResultReason reason) const {
@@ -181,6 +183,12 @@
   EvictExpiredResults();
   const auto now = steady_clock::now();
   const CallId id = offer.id;
+  const auto rejected = rejected_calls_.find(id);
+  if (rejected != rejected_calls_.end()) {
+    CallResult result = NewResult(id, ResultKind::kNotRun, rejected->second);
+    result.load = load();
+    return reply(std::move(result));
+  }
   const auto known = tracked_calls_.find(id);
   if (known != tracked_calls_.end()) {
     TrackedCall& tracked = known->second;
@@ -242,20 +250,26 @@
   tracked->request_id = tracked->offer.request_id;
   tracked->upstream = *registry_.current();
   running_request_ids_.insert(tracked->request_id);
+  if (observer_.on_sent) observer_.on_sent(tracked->upstream);
   const auto left = std::max(milliseconds(1), duration_cast<milliseconds>(tracked->deadline - now));
   UpstreamCall call;
   call.request_id = tracked->offer.request_id;
   call.method = tracked->offer.method;
   call.target = tracked->offer.target;
   call.headers =
-      platform::EncodeUpstreamHeaders(std::move(tracked->offer.headers), left,
-                                      registry_.current()->instance, tracked->offer.origin_service);
+      platform::EncodeUpstreamHeaders(tracked->offer.headers, left, registry_.current()->instance,
+                                      tracked->offer.origin_service, tracked->offer.organisation);
   call.body = std::move(tracked->offer.body);
   call.idempotent = tracked->idempotent;
   tracked->timer = std::make_unique<Timer>(base_, [this, id] { OnDeadline(id); });
   tracked->timer->StartOnce(left + kResponseSlack);
-  tracked->handle = pool_.Start(
-      std::move(call), [this, id](UpstreamOutcome outcome) { OnOutcome(id, std::move(outcome)); });
+  const CallId started = id;
+  const UpstreamPool::Handle handle = pool_.Start(
+      std::move(call),
+      [this, started](UpstreamOutcome outcome) { OnOutcome(started, std::move(outcome)); });
+  // A call that fails at once is completed, and may be erased, before Start() returns.
+  const auto it = tracked_calls_.find(started);
+  if (it != tracked_calls_.end()) it->second.handle = handle;
 }
 
 void LocalUpstream::OnOutcome(const CallId& id, UpstreamOutcome outcome) {
@@ -277,6 +291,7 @@
   } else {
     queue_.OnAbort(now, tracked.queue_key);
   }
+  Observe(tracked, result);
   if (outcome.kind != ResultKind::kResponse) {
     LogNoResponse(tracked, outcome.reason, outcome.sent);
   }
@@ -331,16 +346,29 @@
   queue_.OnAbort(steady_clock::now(), tracked->queue_key);
   CallResult result = NewResult(id, ResultKind::kUnknown, reason);
   result.reached_upstream = true;
+  Observe(*tracked, result);
   Finish(id, tracked, std::move(result));
   DispatchQueued();
 }
 
+void LocalUpstream::Observe(const TrackedCall& tracked, const CallResult& result) {
+  if (!observer_.on_response) return;
+  const bool responded = result.kind == ResultKind::kResponse;
+  const bool failed = responded ? result.status >= kInternalError
+                                : result.reason == ResultReason::kTimeout ||
+                                      result.reason == ResultReason::kConnectionLost ||
+                                      result.reason == ResultReason::kBrokenResponse;
+  if (!responded && !failed) return;
+  const bool warm = registry_.warm_up_left(steady_clock::now()).count() == 0;
+  observer_.on_response(tracked.upstream, tracked.offer.route, failed,
+                        warm && !failed ? result.service_time : ProxyDuration(0));
+}
+
 void LocalUpstream::Refuse(CallId id, ResultReason reason) {
   Finish(id, &tracked_calls_.at(id), NewResult(id, ResultKind::kNotRun, reason));
 }
 
 void LocalUpstream::Finish(CallId id, TrackedCall* tracked, CallResult result) {
-  const auto now = steady_clock::now();
   ids_by_queue_key_.erase(tracked->queue_key);
   const auto running = running_request_ids_.find(tracked->request_id);
   if (tracked->state == State::kRunning && running != running_request_ids_.end()) {
@@ -356,10 +384,26 @@
     }
   }
   tracked->timer.reset();
-  tracked->offer = CallOffer();
+  // Assigning an empty string would keep the memory of the body for `kResultRetention`.
+  { const CallOffer discarded = std::exchange(tracked->offer, CallOffer()); }
   result.load = load();
   const Reply reply = std::move(tracked->reply);
   tracked->reply = nullptr;
+  Retain(id, tracked, result);
+  if (reply) reply(std::move(result));
+}
+
+void LocalUpstream::Retain(const CallId& id, TrackedCall* tracked, const CallResult& result) {
+  if (tracked->connection_id == 0) {
+    tracked_calls_.erase(id);
+    return;
+  }
+  completed_.emplace_back(steady_clock::now(), id);
+  if (result.kind == ResultKind::kNotRun) {
+    rejected_calls_[id] = result.reason;
+    tracked_calls_.erase(id);
+    return;
+  }
   // The response to an idempotent call is not retained, since the call may run again instead.
   const bool has_response = result.kind == ResultKind::kResponse;
   const bool retained =
@@ -372,8 +416,6 @@
     tracked->result.reached_upstream = true;
   }
   retained_bytes_ += tracked->result.body.size();
-  completed_.emplace_back(now, id);
-  if (reply) reply(std::move(result));
 }
 
 void LocalUpstream::EvictExpiredResults() {
@@ -384,6 +426,7 @@
       retained_bytes_ -= it->second.result.body.size();
       tracked_calls_.erase(it);
     }
+    rejected_calls_.erase(completed_.front().second);
     completed_.pop_front();
   }
 }
@@ -406,8 +449,10 @@
 void LocalUpstream::Cancel(const CallId& id) {
   const auto it = tracked_calls_.find(id);
   if (it == tracked_calls_.end()) {
-    TrackedCall& tracked = tracked_calls_[id];
-    return Finish(id, &tracked, NewResult(id, ResultKind::kNotRun, ResultReason::kCancelled));
+    if (rejected_calls_.emplace(id, ResultReason::kCancelled).second) {
+      completed_.emplace_back(steady_clock::now(), id);
+    }
+    return;
   }
   TrackedCall& tracked = it->second;
   tracked.reply = nullptr;
--- a/src/libsidecar/servers/local_upstream.h
+++ b/src/libsidecar/servers/local_upstream.h
@@ -1,5 +1,5 @@
-#ifndef CAMPHORHOIST_LIBSIDECAR_LOCAL_UPSTREAM_H_
-#define CAMPHORHOIST_LIBSIDECAR_LOCAL_UPSTREAM_H_
+#ifndef CAMPHORHOIST_LIBSIDECAR_SERVERS_LOCAL_UPSTREAM_H_
+#define CAMPHORHOIST_LIBSIDECAR_SERVERS_LOCAL_UPSTREAM_H_
 
 #include <cstdint>
 #include <deque>
@@ -31,8 +31,17 @@
   using Reply = std::function<void(CallResult)>;
   /// Identifies the connection on which a call was offered; 0 for calls of this process.
   using ConnectionId = uint64_t;
+  /// Receives what the upstream is sent and how it responds.
+  struct Observer {
+    std::function<void(const UpstreamReport& upstream)> on_sent;
+    /// `service_time`: 0 for a failure, or if the upstream is still warming up.
+    std::function<void(const UpstreamReport& upstream, uint64_t route, bool failed,
+                       ProxyDuration service_time)>
+        on_response;
+  };
 
-  /// How long the id and the result of a completed call are kept.
+  /// How long the id and the result of a completed call of another process are kept. A call of this
+  /// process is forgotten at once: its sender cannot lose the result.
   static constexpr std::chrono::milliseconds kResultRetention{10000};
   /// Time for a sender to reconnect before its running idempotent calls are cancelled.
   static constexpr std::chrono::milliseconds kReconnectGracePeriod{1000};
@@ -63,6 +72,8 @@
   /// the response.
   void SetEgress(double bytes_per_second, std::function<size_t()> backlog);
 
+  void SetObserver(Observer observer) { observer_ = std::move(observer); }
+
   /// Applies a report of the upstream. Returns what it changed.
   UpstreamRegistry::Change Apply(const UpstreamReport& report);
   /// Takes the rate limit of the upstream that another sidecar remembers from an earlier run of
@@ -88,8 +99,7 @@
   void Stop();
 
   /// Whether `request_id` is that of a nested call, i.e. of a request that the upstream makes on
-  /// behalf of a call that it is running. Upstreams derive the id of such a request from the
-  /// request id of that call by appending a separator and a suffix.
+  /// behalf of a call that it is running.
   bool IsRunningParentOf(const std::string& request_id) const;
 
   UpstreamStatus status() const;
@@ -128,9 +138,13 @@
   void OnOutcome(const CallId& id, UpstreamOutcome outcome);
   void OnDeadline(const CallId& id);
   void RecordFailure(bool failed);
+  /// Passes a result to the observer, unless it says nothing about the upstream's software.
+  void Observe(const TrackedCall& tracked, const CallResult& result);
   /// Takes the id by value: a reference might point into a map entry that this function erases.
   void Finish(CallId id, TrackedCall* tracked, CallResult result);
   void Refuse(CallId id, ResultReason reason);
+  /// Keeps what a later offer or cancellation of a completed call needs. `tracked` may be erased.
+  void Retain(const CallId& id, TrackedCall* tracked, const CallResult& result);
   /// Closes the connection of a running call, whose outcome is then unknown.
   void Abort(CallId id, TrackedCall* tracked, ResultReason reason);
   void LogNoResponse(const TrackedCall& tracked, ResultReason reason, bool sent) const;
@@ -159,6 +173,7 @@
   FailureShare failure_share_{kFailureShareEwmaWeight};
   /// The senders were told that the upstream fails many calls.
   bool reported_failing_ = false;
+  Observer observer_;
   Timer expiry_timer_;
   Timer queue_timer_;
   double egress_bytes_per_second_ = 0;
@@ -173,12 +188,16 @@
   uint64_t next_queue_key_ = 1;
   size_t retained_bytes_ = 0;
   std::unordered_map<CallId, TrackedCall> tracked_calls_;
+  /// Completed calls that were not run, without the rest of their state: a process can reject
+  /// thousands of calls a second.
+  std::unordered_map<CallId, ResultReason> rejected_calls_;
   std::unordered_map<uint64_t, CallId> ids_by_queue_key_;
   /// Request ids of the running calls.
   std::unordered_multiset<std::string> running_request_ids_;
+  /// Calls in `tracked_calls_` and `rejected_calls_` that are completed, in order of completion.
   std::deque<std::pair<ProxyTime, CallId>> completed_;
 };
 
 }  // namespace camphorhoist
 
-#endif  // CAMPHORHOIST_LIBSIDECAR_LOCAL_UPSTREAM_H_
+#endif  // CAMPHORHOIST_LIBSIDECAR_SERVERS_LOCAL_UPSTREAM_H_
--- a/src/libsidecar/servers/local_upstream_test.cc
+++ b/src/libsidecar/servers/local_upstream_test.cc
@@ -131,7 +131,7 @@
     PeerDirectory::Handlers handlers;
     handlers.hello = [] { return PeerHello(); };
     handlers.on_message = [](Peer*, const PeerMessage&) {};
-    handlers.on_up = [](Peer*) {};
+    handlers.on_up = [](Peer*, const PeerHello&) {};
     handlers.on_down = [](Peer*, bool) {};
     PeerDirectory directory(base.get(), handlers);
     const std::string ip = LoopbackIp(10);
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -39,44 +39,84 @@
     : base_(base),
       settings_(settings),
       incarnation_(incarnation),
+      budget_({settings_.memory_bytes, settings_.max_descriptors}),
       pacer_(base, settings_.link_bytes_per_second),
       local_(base, settings_, [this] { OnUpstreamStatusChanged(); }),
-      directory_(
-          base,
-          {[this] { return NewHello(); },
-           [this](Peer* peer, PeerMessage message) { OnPeerMessage(peer, std::move(message)); },
-           [this](Peer* peer) { dispatcher_.OnPeerUp(peer); },
-           [this](Peer* peer, bool terminated) { dispatcher_.OnPeerDown(peer, terminated); }}),
-      dispatcher_(base, &settings_, incarnation, &directory_, &local_, &metrics_),
+      directory_(base, {[this] { return NewHello(); },
+                        [this](Peer* peer, PeerMessage message) {
+                          OnPeerMessage(peer, std::move(message));
+                        },
+                        [this](Peer* peer, const PeerHello& hello) {
+                          store_.OnPeerVersion(peer->config_version);
+                          permits_.OnPeerUp(hello);
+                          dispatcher_.OnPeerUp(peer);
+                        },
+                        [this](Peer* peer, bool terminated) {
+                          permits_.OnPeerDown(peer);
+                          dispatcher_.OnPeerDown(peer, terminated);
+                        },
+                        [this](const PeerHello& hello) { rollouts_.OnRecords(hello.rollouts); }}),
+      permits_(base, settings_.node, &directory_, &metrics_,
+               [this](uint64_t ticket, const OrganisationLimiter::Result& result) {
+                 dispatcher_.OnPermit(ticket, result);
+               }),
+      rollouts_(base, &settings_, incarnation, &directory_, &local_, &metrics_,
+                [this](const RolloutRecord& record, RolloutState state,
+                       RolloutExchange::OnWritten on_written) {
+                  store_.WriteRolloutStatus(record, state, std::move(on_written));
+                }),
+      dispatcher_(base, &settings_, incarnation, &directory_, &local_, &permits_, &rollouts_,
+                  &metrics_),
       peer_listener_(
-          base, &local_, &pacer_,
+          base, &local_, &pacer_, &budget_, &metrics_,
           {[this] { return NewHello(); }, [this](const PeerHello& hello) { OnPeerHello(hello); },
-           [this] { store_.RestoreEntry(); }, [this] { return config_version(); }}),
-      caller_listener_(base, &dispatcher_, &pacer_, &metrics_),
-      ready_server_(base, [this](const ControlRequest& request) { return HandleReady(request); }),
+           [this] { store_.RestoreEntry(); }, [this] { return config_version(); },
+           [this](const std::string& node, const PermitRequest& request) {
+             return permits_.OnRequest(node, request);
+           },
+           [this](uint64_t held_version) { return NewerConfig(held_version); },
+           [this](const std::string& node, const PeerMessage& message) {
+             rollouts_.OnMessage(node, message);
+           }}),
+      caller_listener_(base, &dispatcher_, &pacer_, &budget_, &metrics_),
+      ready_server_(base, ListenAddress::kReadiness, &budget_, &metrics_,
+                    [this](const ControlRequest& request) { return HandleReady(request); }),
       announce_server_(
-          base, [this](const ControlRequest& request) { return HandleAnnouncement(request); }),
-      metrics_server_(base,
+          base, ListenAddress::kAnnouncements, &budget_, &metrics_,
+          [this](const ControlRequest& request) { return HandleAnnouncement(request); }),
+      metrics_server_(base, ListenAddress::kMetrics, &budget_, &metrics_,
                       [this](const ControlRequest& request) { return HandleMetrics(request); }),
-      store_(base, settings_,
-             {[this](std::shared_ptr<const MeshConfig> config) {
-                dispatcher_.SetConfig(std::move(config));
-                if (store_.watching()) BroadcastStoreStatus();
-              },
-              [this](const SidecarEntry& entry) {
-                directory_.AddOrUpdate(entry.node, *NetAddress::Parse(entry.address),
-                                       entry.data_centre, true);
-                for (const UpstreamDeparture& it : entry.departures) {
-                  directory_.OnDeparture(entry.node, it);
-                }
-              },
-              [this](const std::string& node) { OnEntryRemoved(node); },
-              [this](const std::set<std::string>& nodes) { OnEntriesListed(nodes); },
-              [this] { BroadcastStoreStatus(); },
-              [this](const SidecarEntry& entry) {
-                local_.Restore(entry.departures);
-                PersistDepartures();
-              }}),
+      store_(
+          base, settings_,
+          {[this](std::shared_ptr<const MeshConfig> config) {
+             permits_.SetConfig(*config);
+             dispatcher_.SetConfig(std::move(config));
+             if (store_.watching()) BroadcastStoreStatus();
+           },
+           [this](const SidecarEntry& entry) {
+             directory_.AddOrUpdate(entry.node, *NetAddress::Parse(entry.address),
+                                    entry.data_centre, true);
+             directory_.SetStopped(entry.node, entry.stopped, entry.is_lost);
+             for (const UpstreamDeparture& it : entry.departures) {
+               directory_.OnDeparture(entry.node, it);
+             }
+           },
+           [this](const std::string& node) { OnEntryRemoved(node); },
+           [this](const std::set<std::string>& nodes) { OnEntriesListed(nodes); },
+           [this] { permits_.OnEntriesListed(); }, [this] { BroadcastStoreStatus(); },
+           [this](const SidecarEntry& entry) {
+             local_.Restore(entry.departures);
+             PersistDepartures();
+           },
+           [this](uint64_t held_version) { RequestConfig(held_version); },
+           [this] {
+             if (store_.watching()) BroadcastStoreStatus();
+           },
+           [this](const std::vector<RolloutRecord>& records) { rollouts_.OnStoreRecords(records); },
+           [this](int64_t era, int64_t revision, const std::vector<RolloutRecord>& records) {
+             rollouts_.OnStoreList(era, revision, records);
+           }}),
+      rng_(incarnation),
       election_timer_(base, [this] { ElectStoreWatchers(); }),
       stop_timer_(base, [this] { ContinueStop(); }) {
   if (pacer_.enabled()) {
@@ -127,6 +167,9 @@
   hello.config_version = config_version();
   hello.upstream = local_.status();
   hello.store_lost = store_.store_lost();
+  hello.store_era = store_.era();
+  hello.rollouts = rollouts_.Records();
+  hello.issued = permits_.Issued();
   return hello;
 }
 
@@ -157,10 +200,15 @@
       kWatchersPerDataCentre - std::min(kWatchersPerDataCentre, with_store.size());
   store_.SetWatching(elected(with_store, kWatchersPerDataCentre) ||
                      elected(without_store, missing));
+  std::set<std::string> lost;
+  if (store_.watching() && permits_.enabled()) {
+    lost = directory_.LostSince(steady_clock::now() - PermitIssuer::kSettleTime);
+  }
+  store_.SetLost(std::move(lost));
 }
 
 void Sidecar::BroadcastStoreStatus() {
-  peer_listener_.Broadcast(StoreStatus{store_.version(), store_.store_lost()});
+  peer_listener_.Broadcast(StoreStatus{store_.version(), store_.store_lost(), store_.era()});
 }
 
 void Sidecar::OnEntryRemoved(const std::string& node) {
@@ -184,23 +232,57 @@
   if (address && !hello.node.empty()) {
     directory_.AddOrUpdate(hello.node, *address, hello.data_centre, false);
   }
+  directory_.OnHello(hello);
+  if (!hello.bulk) permits_.OnHello(hello);
   store_.OnPeerVersion(hello.config_version);
+  store_.OnPeerEra(hello.store_era);
+  rollouts_.OnRecords(hello.rollouts);
   local_.OnRememberedStatus(hello.receiver_upstream);
   local_.Restore(hello.receiver_upstream.departures);
 }
 
 void Sidecar::OnPeerMessage(Peer* peer, PeerMessage message) {
   if (auto* result = std::get_if<CallResult>(&message)) {
+    peer->config_version = std::max(peer->config_version, result->config_version);
     store_.OnPeerVersion(result->config_version);
     return dispatcher_.OnResult(peer, std::move(*result));
   }
+  if (const auto* grant = std::get_if<PermitGrant>(&message)) return permits_.OnGrant(peer, *grant);
+  if (const auto* document = std::get_if<ConfigDocument>(&message)) {
+    return store_.OnPeerConfig(document->body);
+  }
   if (auto* status = std::get_if<UpstreamStatus>(&message)) {
     directory_.SetStatus(peer, std::move(*status));
   }
   if (const auto* status = std::get_if<StoreStatus>(&message)) {
     peer->store_lost = status->lost;
+    peer->config_version = std::max(peer->config_version, status->config_version);
     store_.OnPeerVersion(status->config_version);
+    store_.OnPeerEra(status->era);
+  }
+}
+
+void Sidecar::RequestConfig(uint64_t held_version) {
+  std::vector<Peer*> nearby;
+  std::vector<Peer*> remote;
+  for (const auto& [node, peer] : directory_.peers()) {
+    if (peer->local() || !peer->up() || peer->config_version <= held_version) continue;
+    const bool is_nearby = peer->candidate.data_centre == settings_.data_centre;
+    (is_nearby ? nearby : remote).push_back(peer.get());
   }
+  const std::vector<Peer*>& peers = nearby.empty() ? remote : nearby;
+  if (peers.empty()) return;
+  Peer* peer = peers[rng_() % peers.size()];
+  LogEvent(LogLevel::kInfo, "config", "requested_from_peer")
+      .Add("node", peer->node)
+      .Add("held_version", held_version)
+      .Add("version", peer->config_version);
+  peer->link->Send(ConfigRequest{held_version});
+}
+
+std::optional<ConfigDocument> Sidecar::NewerConfig(uint64_t held_version) const {
+  if (store_.version() <= held_version) return std::nullopt;
+  return ConfigDocument{store_.version(), store_.config_text()};
 }
 
 bool Sidecar::ready() const {
@@ -248,6 +330,7 @@
 ControlResponse Sidecar::HandleMetrics(const ControlRequest& request) {
   if (request.path != "/metrics") return {kNotFound, "text/plain", ""};
   metrics_.Set("config_version", static_cast<double>(config_version()));
+  metrics_.Set("store_era", static_cast<double>(store_.era()));
   metrics_.Set("store_calls", static_cast<double>(store_.calls()));
   metrics_.Set("store_silence_seconds",
                std::chrono::duration<double>(steady_clock::now() - store_.last_response()).count());
@@ -257,6 +340,7 @@
   metrics_.Set("upstream_queued", load.queued);
   metrics_.Set("calls_active", static_cast<double>(dispatcher_.active()));
   metrics_.Set("caller_connections", static_cast<double>(caller_listener_.connections()));
+  metrics_.Set("held_bytes", static_cast<double>(budget_.used_bytes()));
   metrics_.Set("peers", static_cast<double>(directory_.size()));
   return {kOk, "text/plain; version=0.0.4", metrics_.ToText()};
 }
@@ -282,6 +366,8 @@
 }
 
 void Sidecar::ContinueStop() {
+  // The store has not responded in time.
+  if (writing_stopped_) return FinishStop();
   const auto now = steady_clock::now();
   caller_listener_.StopKeepAlive();
   dispatcher_.SetLatestDeadline(stop_deadline() - Dispatcher::kResultSlack);
@@ -290,14 +376,21 @@
     local_.Stop();
     const bool idle = dispatcher_.active() == 0 && local_.active() == 0 && pacer_.empty();
     if (idle || now >= stop_deadline()) {
-      LogEvent(LogLevel::kInfo, "sidecar", "stopped")
-          .Add("cut_calls", dispatcher_.active())
-          .Add("cut_upstream_calls", local_.active());
-      event_base_loopbreak(base_);
-      return;
+      writing_stopped_ = true;
+      permits_.Stop();
+      stop_timer_.StartOnce(kStoppedWriteTime);
+      return store_.WriteStopped([this] { FinishStop(); });
     }
   }
   stop_timer_.StartOnce(kStopPollInterval);
 }
 
+void Sidecar::FinishStop() {
+  LogEvent(LogLevel::kInfo, "sidecar", "stopped")
+      .Add("cut_calls", dispatcher_.active())
+      .Add("cut_upstream_calls", local_.active());
+  stop_timer_.Stop();
+  event_base_loopbreak(base_);
+}
+
 }  // namespace camphorhoist
--- a/src/libsidecar/sidecar.h
+++ b/src/libsidecar/sidecar.h
@@ -3,10 +3,12 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 
 #include "camphorhoist/finding.h"
+#include "camphorhoist/memory_budget.h"
 #include "camphorhoist/sidecar_settings.h"
 #include "libbase/event_ptr.h"
 #include "libsidecar/callers/caller_listener.h"
@@ -15,6 +17,8 @@
 #include "libsidecar/peers/link_pacer.h"
 #include "libsidecar/peers/peer_directory.h"
 #include "libsidecar/peers/peer_listener.h"
+#include "libsidecar/peers/permit_exchange.h"
+#include "libsidecar/rollout/rollout_exchange.h"
 #include "libsidecar/servers/local_upstream.h"
 #include "libsidecar/sidecar_metrics.h"
 #include "libsidecar/store/store_sync.h"
@@ -37,6 +41,8 @@
   /// process.
   static constexpr std::chrono::milliseconds kFinalDrainTime{1500};
   static constexpr std::chrono::milliseconds kStopPollInterval{50};
+  /// Maximum time for the last write to the store, within `kStopMargin`.
+  static constexpr std::chrono::milliseconds kStoppedWriteTime{200};
   /// Interval at which the sidecars that watch the store are elected. It bounds the gap after a
   /// watcher exits or loses the store.
   static constexpr std::chrono::milliseconds kWatcherElectionInterval{500};
@@ -74,11 +80,16 @@
   void OnEntryRemoved(const std::string& node);
   void OnPeerMessage(Peer* peer, PeerMessage message);
   void OnPeerHello(const PeerHello& hello);
+  /// Asks one of the sidecars that hold a configuration newer than `held_version` for it, in this
+  /// data centre if possible.
+  void RequestConfig(uint64_t held_version);
+  std::optional<ConfigDocument> NewerConfig(uint64_t held_version) const;
   ControlResponse HandleReady(const ControlRequest& request) const;
   ControlResponse HandleAnnouncement(const ControlRequest& request);
   ControlResponse HandleMetrics(const ControlRequest& request);
   bool ready() const;
   void ContinueStop();
+  void FinishStop();
   /// Time by which this process ends. Precondition: `Stop` was called.
   std::chrono::steady_clock::time_point stop_deadline() const {
     return *stop_started_at_ + settings_.grace_period - kStopMargin;
@@ -88,9 +99,12 @@
   SidecarSettings settings_;
   uint64_t incarnation_;
   SidecarMetrics metrics_;
+  MemoryBudget budget_;
   LinkPacer pacer_;
   LocalUpstream local_;
   PeerDirectory directory_;
+  PermitExchange permits_;
+  RolloutExchange rollouts_;
   Dispatcher dispatcher_;
   PeerListener peer_listener_;
   CallerListener caller_listener_;
@@ -98,9 +112,12 @@
   ControlServer announce_server_;
   ControlServer metrics_server_;
   StoreSync store_;
+  std::mt19937_64 rng_;
   Timer election_timer_;
   Timer stop_timer_;
   std::optional<std::chrono::steady_clock::time_point> stop_started_at_;
+  /// The process is idle and writes to the store that it has stopped.
+  bool writing_stopped_ = false;
 };
 
 }  // namespace camphorhoist
--- a/src/libsidecar/store/store_sync.cc
+++ b/src/libsidecar/store/store_sync.cc
@@ -1,11 +1,13 @@
 #include "libsidecar/store/store_sync.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "camphorhoist/error.h"
 #include "libbase/log.h"
 #include "platform/config_codec.h"
+#include "platform/rollout_codec.h"
 
 namespace camphorhoist {
 
@@ -19,9 +21,13 @@
     if (it.started_ms) departure["started_ms"] = *it.started_ms;
     departures.push_back(std::move(departure));
   }
-  return {{"address", entry.address},
-          {"data_centre", entry.data_centre},
-          {"departures", std::move(departures)}};
+  json spec = {{"address", entry.address},
+               {"data_centre", entry.data_centre},
+               {"departures", std::move(departures)},
+               {"started_ms", entry.started_ms}};
+  if (entry.stopped) spec["stopped"] = true;
+  if (!entry.lost.empty()) spec["lost"] = entry.lost;
+  return spec;
 }
 
 std::optional<SidecarEntry> DecodeEntry(const std::string& name, const json& spec) {
@@ -34,6 +40,12 @@
   entry.address = text("address");
   entry.data_centre = text("data_centre");
   if (!NetAddress::Parse(entry.address)) return std::nullopt;
+  entry.stopped = spec.contains("stopped") && spec["stopped"] == true;
+  if (spec.contains("lost") && spec["lost"].is_array()) {
+    for (const json& it : spec["lost"]) {
+      if (it.is_string()) entry.lost.insert(it.get<std::string>());
+    }
+  }
   if (!spec.contains("departures") || !spec["departures"].is_array()) return entry;
   for (const json& it : spec["departures"]) {
     if (!it.is_object() || !it.contains("instance") || !it["instance"].is_string()) continue;
@@ -48,16 +60,23 @@
 }
 
 StoreSync::StoreSync(event_base* base, const SidecarSettings& settings, Handlers handlers)
-    : handlers_(std::move(handlers)), client_(base, settings.store) {
+    : handlers_(std::move(handlers)), client_(base, settings.store, [this] { OnRestored(); }) {
   own_entry_.node = settings.node;
   own_entry_.address = settings.peer_listen.ToString();
   own_entry_.data_centre = settings.data_centre;
+  const auto started = std::chrono::system_clock::now().time_since_epoch();
+  own_entry_.started_ms = std::chrono::duration_cast<std::chrono::milliseconds>(started).count();
   config_loop_.timer =
       std::make_unique<Timer>(base, [this] { config_loop_.listed ? WatchConfig() : ReadConfig(); });
   entries_loop_.timer = std::make_unique<Timer>(
       base, [this] { entries_loop_.listed ? WatchEntries() : ReadEntries(); });
+  reads_rollouts_ = settings.rollout.has_value();
+  rollouts_loop_.complete = true;
+  rollouts_loop_.timer = std::make_unique<Timer>(
+      base, [this] { rollouts_loop_.listed ? WatchRollouts() : ReadRollouts(); });
   write_loop_.timer = std::make_unique<Timer>(base, [this] { WriteEntry(); });
   version_timer_ = std::make_unique<Timer>(base, [this] { CheckVersion(); });
+  restore_timer_ = std::make_unique<Timer>(base, [this] { RestartLoop(&entries_loop_); });
   revision_timer_ = std::make_unique<Timer>(base, [this] { CheckRevision(); });
   report_timer_ = std::make_unique<Timer>(base, [this] { RenewStalledWatches(); });
 }
@@ -87,6 +106,42 @@
   if (!config_loop_.timer->pending()) config_loop_.timer->StartOnce(std::chrono::microseconds(0));
   if (!entries_loop_.timer->pending()) entries_loop_.timer->StartOnce(std::chrono::microseconds(0));
   if (!revision_timer_->pending()) revision_timer_->StartOnce(std::chrono::microseconds(0));
+  if (reads_rollouts_ && !rollouts_loop_.timer->pending()) {
+    rollouts_loop_.timer->StartOnce(std::chrono::microseconds(0));
+  }
+}
+
+void StoreSync::OnRestored() {
+  LogEvent(LogLevel::kWarn, "store", "restored")
+      .Add("era", client_.era())
+      .Add("version", version_)
+      .Add("watching", watching_);
+  store_revision_ = 0;
+  restore_timer_->StartOnce(kRestoreGrace);
+  RestartLoop(&config_loop_);
+  RestartLoop(&entries_loop_);
+  if (reads_rollouts_) RestartLoop(&rollouts_loop_);
+  // A write under way gets a response of the new era, or fails and is repeated.
+  if (entries_listed_ && !write_loop_.busy) WriteEntry();
+  handlers_.on_store_restored();
+}
+
+void StoreSync::RestartLoop(SyncLoop* loop) {
+  const bool watch_pending = loop->busy && loop->listed;
+  if (watch_pending) {
+    client_.Cancel(loop->watch);
+    loop->busy = false;
+  }
+  loop->listed = false;
+  loop->checked_revision = 0;
+  loop->retry_delay = kMinRetryDelay;
+  if (watching_ && !loop->busy) loop->timer->StartOnce(std::chrono::microseconds(0));
+}
+
+void StoreSync::OnPeerEra(int64_t era) {
+  if (era <= std::max(client_.era(), newest_peer_era_)) return;
+  newest_peer_era_ = era;
+  if (entries_listed_) WriteEntry();
 }
 
 void StoreSync::CheckRevision() {
@@ -109,6 +164,7 @@
     // The watches that were opened before may wait for responses that are lost.
     RenewWatch(&config_loop_, platform::kConfigKind);
     RenewWatch(&entries_loop_, kEntryKind);
+    RenewWatch(&rollouts_loop_, platform::kRolloutKind);
   } else {
     report_timer_->StartOnce(kWatchReportTimeout);
   }
@@ -187,12 +243,15 @@
 }
 
 void StoreSync::ApplyConfig(const platform::StoredObject& object) {
-  if (object.name != platform::kConfigName) return;
+  if (object.name == platform::kConfigName) ApplyConfigSpec(object.spec, "store");
+}
+
+void StoreSync::ApplyConfigSpec(const json& spec, const char* source) {
   Findings findings;
-  std::shared_ptr<const MeshConfig> config = platform::DecodeConfig(object.spec, &findings);
+  std::shared_ptr<const MeshConfig> config = platform::DecodeConfig(spec, &findings);
   if (config == nullptr) {
     LogEvent(LogLevel::kError, "config", "rejected")
-        .Add("revision", object.revision)
+        .Add("source", source)
         .Add("in_force", version_)
         .Add("findings", findings.ToString());
     return;
@@ -201,11 +260,27 @@
   LogEvent(LogLevel::kInfo, "config", "applied")
       .Add("version", config->version())
       .Add("before", version_)
+      .Add("source", source)
       .Add("routes", config->routes().size());
   version_ = config->version();
+  config_spec_ = spec;
   handlers_.on_config(std::move(config));
 }
 
+void StoreSync::OnPeerConfig(const std::string& text) {
+  const json spec = json::parse(text, nullptr, false);
+  if (spec.is_discarded()) {
+    LogEvent(LogLevel::kWarn, "config", "unreadable_from_peer").Add("bytes", text.size());
+    return;
+  }
+  ApplyConfigSpec(spec, "peer");
+}
+
+std::string StoreSync::config_text() const {
+  if (config_spec_.is_null()) return {};
+  return config_spec_.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 void StoreSync::OnPeerVersion(uint64_t version) {
   if (version <= version_) return;
   newest_peer_version_ = std::max(newest_peer_version_, version);
@@ -222,6 +297,8 @@
       .Add("in_force", version_)
       .Add("seen", newest_peer_version_)
       .Add("watching", watching_);
+  // A call to a store that does not respond takes longer than the transfer.
+  if (store_lost_) handlers_.request_config(version_);
   ReadVersion(platform::ObjectClient::Freshness::kRecent);
 }
 
@@ -234,6 +311,7 @@
                  reading_version_ = false;
                  RecordStoreResponse(ec);
                  for (const platform::StoredObject& it : list.objects) ApplyConfig(it);
+                 if (ec && newest_peer_version_ > version_) handlers_.request_config(version_);
                  if (newest_peer_version_ <= version_) {
                    version_retry_delay_ = kMinRetryDelay;
                  } else if (!ec && freshness == Freshness::kRecent) {
@@ -256,7 +334,9 @@
     // The store may not know a kind that has no objects.
     if (ec && ec != Errc::kNotFound) return ScheduleRetry(&entries_loop_, "read_entries", ec);
     ApplyEntries(list);
-    entries_loop_.complete = entries_loop_.complete || own_entry_written;
+    const bool was_complete = entries_loop_.complete;
+    entries_loop_.complete = was_complete || own_entry_written;
+    if (entries_loop_.complete && !was_complete) handlers_.on_entries_complete();
     WatchEntries();
   };
   client_.List(kEntryKind, platform::ObjectClient::Freshness::kLatest, done);
@@ -264,10 +344,19 @@
 
 void StoreSync::ApplyEntries(const platform::ObjectList& list) {
   std::set<std::string> nodes;
+  // Newest revision of an entry that names a sidecar as lost. A process that is started writes its
+  // own entry, so that older ones say nothing about it.
+  std::map<std::string, int64_t> lost;
+  for (const platform::StoredObject& it : list.objects) {
+    const std::optional<SidecarEntry> entry = DecodeEntry(it.name, it.spec);
+    if (!entry || it.name == own_entry_.node) continue;
+    for (const std::string& node : entry->lost) lost[node] = std::max(lost[node], it.revision);
+  }
   for (const platform::StoredObject& it : list.objects) {
     nodes.insert(it.name);
     if (it.name != own_entry_.node) {
-      ApplyEntry(it);
+      const auto lost_at = lost.find(it.name);
+      ApplyEntry(it, lost_at != lost.end() && lost_at->second > it.revision);
       continue;
     }
     const std::optional<SidecarEntry> entry = DecodeEntry(it.name, it.spec);
@@ -279,7 +368,7 @@
   entries_loop_.listed = true;
   entries_loop_.retry_delay = kMinRetryDelay;
   if (!entry_exists_ || !entry_written_) WriteEntry();
-  if (watching_) handlers_.on_entries_listed(nodes);
+  if (watching_ && !restore_timer_->pending()) handlers_.on_entries_listed(nodes);
 }
 
 void StoreSync::WatchEntries() {
@@ -302,7 +391,7 @@
                         } else if (it.deleted) {
                           handlers_.on_entry_removed(it.object.name);
                         } else {
-                          ApplyEntry(it.object);
+                          ApplyEntry(it.object, false);
                         }
                       }
                       entries_loop_.as_of = changes.as_of;
@@ -311,6 +400,84 @@
                     });
 }
 
+void StoreSync::AddRollout(const platform::StoredObject& object,
+                           std::vector<RolloutRecord>* records) const {
+  Findings findings;
+  std::optional<RolloutRecord> record = platform::DecodeRollout(object, client_.era(), &findings);
+  if (record) return records->push_back(std::move(*record));
+  LogEvent(LogLevel::kError, "rollout", "order_rejected")
+      .Add("name", object.name)
+      .Add("findings", findings.ToString());
+}
+
+void StoreSync::ReadRollouts() {
+  if (rollouts_loop_.busy || !watching_) return;
+  rollouts_loop_.busy = true;
+  client_.List(platform::kRolloutKind, platform::ObjectClient::Freshness::kLatest,
+               [this](std::error_code ec, const platform::ObjectList& list) {
+                 rollouts_loop_.busy = false;
+                 RecordStoreResponse(ec);
+                 // The store may not know a kind that has no objects. Its revision is the same for
+                 // all kinds, so that the watch can continue from that of the configuration.
+                 const bool unknown_kind = ec == Errc::kNotFound && config_loop_.as_of > 0;
+                 if (ec && !unknown_kind) {
+                   return ScheduleRetry(&rollouts_loop_, "read_rollouts", ec);
+                 }
+                 rollouts_loop_.as_of = ec ? config_loop_.as_of : list.as_of;
+                 rollouts_loop_.listed = true;
+                 rollouts_loop_.retry_delay = kMinRetryDelay;
+                 std::vector<RolloutRecord> records;
+                 for (const platform::StoredObject& it : list.objects) AddRollout(it, &records);
+                 handlers_.on_rollouts_listed(client_.era(), rollouts_loop_.as_of, records);
+                 WatchRollouts();
+               });
+}
+
+void StoreSync::WatchRollouts() {
+  if (rollouts_loop_.busy || !watching_) return;
+  rollouts_loop_.busy = true;
+  rollouts_loop_.watch =
+      client_.Watch(platform::kRolloutKind, rollouts_loop_.as_of, kWatchTimeout,
+                    [this](std::error_code ec, const platform::ObjectChanges& changes) {
+                      rollouts_loop_.busy = false;
+                      RecordStoreResponse(ec);
+                      if (ec) {
+                        rollouts_loop_.listed = false;
+                        return ScheduleRetry(&rollouts_loop_, "watch_rollouts", ec);
+                      }
+                      std::vector<RolloutRecord> records;
+                      for (const auto& it : changes.changes) {
+                        const size_t before = records.size();
+                        AddRollout(it.object, &records);
+                        if (records.size() > before) records.back().deleted = it.deleted;
+                      }
+                      rollouts_loop_.as_of = changes.as_of;
+                      rollouts_loop_.retry_delay = kMinRetryDelay;
+                      rollouts_loop_.timer->StartOnce(kRolloutWatchInterval);
+                      if (!records.empty()) handlers_.on_rollouts(records);
+                    });
+}
+
+void StoreSync::WriteRolloutStatus(const RolloutRecord& record, RolloutState state,
+                                   std::function<void(std::error_code)> callback) {
+  client_.WriteStatus(platform::kRolloutKind, record.order.service, record.revision,
+                      platform::EncodeRolloutStatus(state, record.order.target_version),
+                      [this, record, state, callback = std::move(callback)](
+                          std::error_code ec, const platform::StoredObject& object) {
+                        RecordStoreResponse(ec);
+                        std::vector<RolloutRecord> records;
+                        if (!ec) {
+                          records.push_back(record);
+                          records.back().state = state;
+                          records.back().revision = std::max(object.revision, record.revision + 1);
+                        } else if (ec == Errc::kConflict && !object.name.empty()) {
+                          AddRollout(object, &records);
+                        }
+                        if (!records.empty()) handlers_.on_rollouts(records);
+                        callback(ec);
+                      });
+}
+
 void StoreSync::RestoreEntry() {
   if (!joined() || write_loop_.busy) return;
   if (steady_clock::now() - entry_written_at_ < kMinEntryRewriteInterval) return;
@@ -319,9 +486,12 @@
   WriteEntry();
 }
 
-void StoreSync::ApplyEntry(const platform::StoredObject& object) {
-  const std::optional<SidecarEntry> entry = DecodeEntry(object.name, object.spec);
-  if (entry) return handlers_.on_entry(*entry);
+void StoreSync::ApplyEntry(const platform::StoredObject& object, bool is_lost) {
+  std::optional<SidecarEntry> entry = DecodeEntry(object.name, object.spec);
+  if (entry) {
+    entry->is_lost = is_lost;
+    return handlers_.on_entry(*entry);
+  }
   LogEvent(LogLevel::kWarn, "store", "entry_ignored")
       .Add("name", object.name)
       .Add("revision", object.revision);
@@ -333,6 +503,22 @@
   if (entries_listed_) WriteEntry();
 }
 
+void StoreSync::SetLost(std::set<std::string> nodes) {
+  const auto now = steady_clock::now();
+  if (own_entry_.lost == nodes || !joined() || now < lost_written_at_ + kMinLostWriteInterval) {
+    return;
+  }
+  lost_written_at_ = now;
+  own_entry_.lost = std::move(nodes);
+  WriteEntry();
+}
+
+void StoreSync::WriteStopped(std::function<void()> on_written) {
+  own_entry_.stopped = true;
+  on_stopped_written_ = std::move(on_written);
+  if (entries_listed_) WriteEntry();
+}
+
 void StoreSync::WriteEntry() {
   if (write_loop_.busy) {
     write_again_ = true;
@@ -360,7 +546,8 @@
   entry_written_at_ = steady_clock::now();
   if (!entries_loop_.complete) ReadEntries();
   write_loop_.retry_delay = kMinRetryDelay;
-  if (std::exchange(write_again_, false)) WriteEntry();
+  if (std::exchange(write_again_, false)) return WriteEntry();
+  if (on_stopped_written_) on_stopped_written_();
 }
 
 }  // namespace camphorhoist
--- a/src/libsidecar/store/store_watcher_test.cc
+++ b/src/libsidecar/store/store_watcher_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(NewVersionIsInForceAfterSilentStoreOutage);
   CPPUNIT_TEST(NewVersionIsInForceAfterShortSilentStoreOutage);
   CPPUNIT_TEST(EntriesLostDuringSilentStoreOutageAreRewritten);
+  CPPUNIT_TEST(SidecarThatStoreRejectsGetsConfigurationFromOthers);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr size_t kNodes = 10;
@@ -45,6 +46,27 @@
   }
 
  public:
+  // Guards against an old configuration, with keys that have been revoked, at a sidecar that the
+  // store rejects while it serves the others.
+  void SidecarThatStoreRejectsGetsConfigurationFromOthers() {
+    for (const auto fault : {FakeStore::Fault::kBusy, FakeStore::Fault::kUnresponsive}) {
+      SidecarMesh mesh(3);
+      for (size_t i = 0; i < 3; ++i) {
+        CPPUNIT_ASSERT(mesh.Pump([&] { return mesh.Ready(i) == 200; }));
+      }
+      FakeStore rejecting_store(mesh.base());
+      rejecting_store.set_fault(fault);
+      mesh.Kill(2);
+      mesh.at(2).settings.store = rejecting_store.address();
+      mesh.Start(2);
+      CPPUNIT_ASSERT(mesh.Pump([&] { return HasVersion(&mesh, 2, 1); }));
+      mesh.PutConfig(5);
+      CPPUNIT_ASSERT(mesh.Pump([&] { return HasVersion(&mesh, 2, 5); }));
+      CPPUNIT_ASSERT(mesh.Ready(2) != 200);
+      mesh.Kill(2);
+    }
+  }
+
   // Guards against store calls by every sidecar for each change, since store calls are billed.
   void TwoSidecarsPerDataCentreWatchStore() {
     SidecarMesh mesh(kNodes);
--- a/src/libsidecar/testing/fake_store.cc
+++ b/src/libsidecar/testing/fake_store.cc
@@ -56,6 +56,8 @@
     if (at != std::string::npos) text.replace(at, placeholder.size(), spec);
   }
   evbuffer_add(evhttp_request_get_output_buffer(req), text.data(), text.size());
+  evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era",
+                    std::to_string(era_).c_str());
   evhttp_send_reply(req, response.status, nullptr, nullptr);
 }
 
@@ -70,6 +72,7 @@
   const size_t slash = path.find('/', kPrefix);
   const std::string kind = path.substr(kPrefix, slash - kPrefix);
   const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+  ++calls_by_kind_[kind];
   evkeyvalq query{};
   const char* text = evhttp_uri_get_query(uri);
   evhttp_parse_query_str(text == nullptr ? "" : text, &query);
@@ -117,6 +120,9 @@
 
 FakeStore::Response FakeStore::Write(evhttp_cmd_type method, const std::string& kind,
                                      const std::string& name, const json& body) {
+  constexpr char kStatus[] = "/status";
+  const size_t status_at = name.find(kStatus);
+  if (status_at != std::string::npos) return WriteStatus(kind, name.substr(0, status_at), body);
   auto& objects = kinds_[kind];
   if (method == EVHTTP_REQ_DELETE) {
     if (objects.count(name) == 0) return {kNotFound, nullptr};
@@ -136,6 +142,27 @@
   return {method == EVHTTP_REQ_POST ? kCreated : 200, objects.at(target)};
 }
 
+FakeStore::Response FakeStore::WriteStatus(const std::string& kind, const std::string& name,
+                                           const json& body) {
+  auto& objects = kinds_[kind];
+  const auto it = objects.find(name);
+  if (it == objects.end()) return {kNotFound, nullptr};
+  if (body["metadata"]["revision"] != it->second["metadata"]["revision"]) {
+    return {kConflict, it->second};
+  }
+  it->second["status"] = body["status"];
+  it->second["metadata"]["revision"] = ++revision_;
+  statuses_.push_back(body["status"]);
+  Record(kind, it->second, false);
+  return {200, it->second};
+}
+
+json FakeStore::Status(const std::string& kind, const std::string& name) const {
+  const auto objects = kinds_.find(kind);
+  if (objects == kinds_.end() || objects->second.count(name) == 0) return nullptr;
+  return objects->second.at(name)["status"];
+}
+
 void FakeStore::Put(const std::string& kind, const std::string& name, const json& spec) {
   const auto known = kinds_[kind].find(name);
   if (known != kinds_[kind].end() && known->second["spec"] == spec) return;
@@ -184,7 +211,7 @@
 
 void FakeStore::StartWatch(evhttp_request* req, const std::string& kind, int64_t from,
                            int wait_ms) {
-  if (from < history_start_) return Reply(req, {kGone, nullptr});
+  if (from < history_start_ || from > revision_) return Reply(req, {kGone, nullptr});
   const json events = Changes(kind, from);
   if (!events.empty()) return Reply(req, {200, {{"events", events}, {"asOf", revision_}}});
   const auto it = watches_.insert(watches_.end(), Watch{req, kind, from, nullptr});
@@ -226,6 +253,20 @@
   }
 }
 
+void FakeStore::SaveCopy() {
+  copied_kinds_ = kinds_;
+  copied_revision_ = revision_;
+}
+
+void FakeStore::RestoreCopy() {
+  ++era_;
+  kinds_ = copied_kinds_;
+  revision_ = copied_revision_;
+  const auto lost = [this](const Event& it) { return it.revision > revision_; };
+  history_.erase(std::remove_if(history_.begin(), history_.end(), lost), history_.end());
+  watches_.clear();
+}
+
 void FakeStore::DropHistory() {
   history_.clear();
   history_start_ = ++revision_;
--- a/src/libsidecar/testing/fake_store.h
+++ b/src/libsidecar/testing/fake_store.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "camphorhoist/net_address.h"
 #include "libbase/event_ptr.h"
@@ -52,10 +53,24 @@
   void PutText(const std::string& kind, const std::string& name, const std::string& text);
   /// Spec of an object; null if there is none.
   nlohmann::json Spec(const std::string& kind, const std::string& name) const;
+  /// Status of an object; null if there is none.
+  nlohmann::json Status(const std::string& kind, const std::string& name) const;
+  /// All statuses that were written, in the order of the writes.
+  const std::vector<nlohmann::json>& statuses() const { return statuses_; }
+  /// Keeps a copy of all objects and of the revision.
+  void SaveCopy();
+  /// Returns to the copy and increments the era. The pending watches get no response.
+  /// Precondition: `SaveCopy` was called.
+  void RestoreCopy();
   /// Discards the history and ends all watches with 410.
   void DropHistory();
   /// Number of calls handled since the start.
   uint64_t calls() const { return calls_; }
+  /// Number of calls about objects of a kind since the start.
+  uint64_t calls(const std::string& kind) const {
+    const auto it = calls_by_kind_.find(kind);
+    return it == calls_by_kind_.end() ? 0 : it->second;
+  }
   /// Number of watches that wait for a change, without those whose client has closed the
   /// connection.
   size_t watches() const;
@@ -73,6 +88,7 @@
     int64_t from;
     std::unique_ptr<Timer> timer;
   };
+  using Kinds = std::map<std::string, std::map<std::string, nlohmann::json>>;
   struct Response {
     int status = 200;
     nlohmann::json body = nullptr;
@@ -84,6 +100,8 @@
   Response Read(const std::string& kind, const std::string& name, const std::string& after) const;
   Response Write(evhttp_cmd_type method, const std::string& kind, const std::string& name,
                  const nlohmann::json& body);
+  Response WriteStatus(const std::string& kind, const std::string& name,
+                       const nlohmann::json& body);
   void StartWatch(evhttp_request* req, const std::string& kind, int64_t from, int wait_ms);
   nlohmann::json Changes(const std::string& kind, int64_t from) const;
   void NotifyWatches();
@@ -98,10 +116,16 @@
   int64_t revision_ = 10;
   int64_t history_start_ = 10;
   uint64_t calls_ = 0;
+  std::map<std::string, uint64_t> calls_by_kind_;
   uint64_t max_calls_ = UINT64_MAX;
-  std::map<std::string, std::map<std::string, nlohmann::json>> kinds_;
+  /// Number of times that the store was restored from a copy, plus one.
+  int64_t era_ = 1;
+  Kinds kinds_;
+  Kinds copied_kinds_;
+  int64_t copied_revision_ = 0;
   std::deque<Event> history_;
   std::list<Watch> watches_;
+  std::vector<nlohmann::json> statuses_;
   /// Texts of the specs that `PutText` wrote, by the placeholder in their objects.
   std::map<std::string, std::string> texts_;
 };
--- a/src/libsidecar/testing/sidecar_mesh.cc
+++ b/src/libsidecar/testing/sidecar_mesh.cc
@@ -98,7 +98,8 @@
   responder_(&connection, head);
 }
 
-SidecarMesh::SidecarMesh(size_t nodes, size_t link_bytes_per_second)
+SidecarMesh::SidecarMesh(size_t nodes, size_t link_bytes_per_second,
+                         std::optional<RolloutBounds> rollout)
     : base_(NewPreciseEventBase()) {
   store_ = std::make_unique<FakeStore>(base_.get());
   client_ = std::make_unique<HttpClient>(base_.get());
@@ -126,33 +127,36 @@
     settings.retry_budget.ratio = 0.2;
     settings.retry_budget.window = std::chrono::seconds(10);
     settings.retry_budget.fixed_retries = 50;
+    settings.rollout = rollout;
     nodes_.push_back(std::move(node));
   }
   PutConfig(1);
   for (size_t i = 0; i < nodes; ++i) Start(i);
 }
 
-void SidecarMesh::PutConfig(int version, std::chrono::milliseconds timeout) {
+json ConfigSpec(int version, milliseconds timeout) {
   const double timeout_s = std::chrono::duration<double>(timeout).count();
   const auto route = [timeout_s](const char* prefix, const char* kind) {
     return json::array({prefix, "h.example", prefix, kind, timeout_s, 0.3, 1, nullptr, 2, "s"});
   };
-  const json config = {
-      {"version", "r" + std::to_string(version)},
-      {"routes",
-       {{"columns",
-         {"name", "hostname", "pathPrefix", "kind", "timeoutS", "sloS", "priority", "split",
-          "attempts", "service"}},
-        {"rows",
-         {route("/safe/", "safe"), route("/unsafe/", "unsafe"), route("/bulk/", "download")}}}},
-      {"services",
-       {{"columns", {"name", "healthPath", "maxConns"}}, {"rows", {{"s", "/healthz", 110}}}}},
-      {"limits",
-       {{"maxHeaderBytes", 4096},
-        {"maxBodyBytes", 100000},
-        {"headerTimeoutS", 1},
-        {"idleTimeoutS", 5}}}};
-  store_->Put("config", "main", config);
+  return {{"version", "r" + std::to_string(version)},
+          {"routes",
+           {{"columns",
+             {"name", "hostname", "pathPrefix", "kind", "timeoutS", "sloS", "priority", "split",
+              "attempts", "service"}},
+            {"rows",
+             {route("/safe/", "safe"), route("/unsafe/", "unsafe"), route("/bulk/", "download")}}}},
+          {"services",
+           {{"columns", {"name", "healthPath", "maxConns"}}, {"rows", {{"s", "/healthz", 110}}}}},
+          {"limits",
+           {{"maxHeaderBytes", 4096},
+            {"maxBodyBytes", 100000},
+            {"headerTimeoutS", 1},
+            {"idleTimeoutS", 5}}}};
+}
+
+void SidecarMesh::PutConfig(int version, milliseconds timeout) {
+  store_->Put("config", "main", ConfigSpec(version, timeout));
 }
 
 void SidecarMesh::Start(size_t i) {
@@ -198,14 +202,12 @@
   HttpRequest request;
   request.method = "POST";
   request.target = "/Instances.Heartbeat/i-" + std::to_string(i);
-  request.body = json({{"service", "s"},
-                       {"address", node.upstream->address().ToString()},
-                       {"slots", 4},
-                       {"state", state},
-                       {"coldLeftS", 0},
-                       {"seq", ++node.sequence},
-                       {"born", 1000}})
-                     .dump();
+  json body = {{"service", "s"}, {"address", node.upstream->address().ToString()},
+               {"slots", 4},     {"state", state},
+               {"coldLeftS", 0}, {"seq", ++node.sequence},
+               {"born", 1000}};
+  if (!node.version.empty()) body["version"] = node.version;
+  request.body = body.dump();
   CPPUNIT_ASSERT_EQUAL(200, Fetch(node.settings.announce_listen, std::move(request)).status);
 }
 
--- a/src/libsidecar/testing/sidecar_mesh.h
+++ b/src/libsidecar/testing/sidecar_mesh.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,13 +52,17 @@
     std::unique_ptr<FakeUpstream> upstream;
     std::unique_ptr<Sidecar> sidecar;
     int64_t sequence = 0;
+    /// Version that the upstream reports; not reported if empty.
+    std::string version;
   };
 
   static constexpr size_t kFastLinkBytesPerSecond = 100 << 20;
 
   /// All nodes serve the service "s". The configuration routes "h.example/safe/", "/unsafe/" and
   /// "/bulk/" to it. `link_bytes_per_second`: rate of the link of each VM.
-  explicit SidecarMesh(size_t nodes, size_t link_bytes_per_second = kFastLinkBytesPerSecond);
+  /// `rollout`: bounds on roll-outs, if the settings have them.
+  explicit SidecarMesh(size_t nodes, size_t link_bytes_per_second = kFastLinkBytesPerSecond,
+                       std::optional<RolloutBounds> rollout = std::nullopt);
 
   event_base* base() { return base_.get(); }
   FakeStore& store() { return *store_; }
@@ -100,6 +105,8 @@
   uint64_t incarnation_ = 100;
 };
 
+/// Spec of the configuration that `SidecarMesh::PutConfig` writes.
+nlohmann::json ConfigSpec(int version, std::chrono::milliseconds timeout);
 /// Text of a request to the host that the configuration routes.
 std::string RequestText(const std::string& method, const std::string& path, const std::string& id,
                         const std::string& body,
