--- a/src/camphorhoist/cli.cc
+++ b/src/camphorhoist/cli.cc
@@ -1,8 +1,8 @@
 #include "camphorhoist/cli.h"
 
+#include <array>
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <sstream>
 
 #include "camphorhoist/cli_session.h"
@@ -26,21 +26,31 @@
     {CliCommand::kDrain, &RunDrain},
 };
 
+// Unlike an iterator over the stream buffer, `read` sets `badbit` on a read error, such as that of
+// a directory, instead of throwing.
 std::string ReadAll(std::istream& in) {
-  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  std::string text;
+  std::array<char, 4096> buf{};
+  while (in.read(buf.data(), buf.size()) || in.gcount() > 0) {
+    text.append(buf.data(), static_cast<size_t>(in.gcount()));
+  }
+  return text;
 }
 
-std::string ReadFile(const std::string& path, std::istream& standard_input, Findings* findings) {
+}  // namespace
+
+std::string ReadInputFile(const std::string& path, std::istream& standard_input,
+                          Findings* findings) {
   if (path.empty()) return "";
-  if (path == "-") return ReadAll(standard_input);
-  std::ifstream in(path, std::ios::binary);
-  std::string text = in ? ReadAll(in) : std::string();
-  if (!in) findings->Add(path, "cannot be read");
+  std::ifstream file;
+  if (path != "-") file.open(path, std::ios::binary);
+  std::istream& in = path == "-" ? standard_input : file;
+  const bool is_open = path == "-" || file.is_open();
+  std::string text = is_open ? ReadAll(in) : std::string();
+  if (!is_open || in.bad()) findings->Add(path, "cannot be read");
   return text;
 }
 
-}  // namespace
-
 CliExit ReportError(const CliSession& session, const std::error_code& error) {
   session.context.err << session.client.current_node().ToString() << ": " << error.message()
                       << "\n";
@@ -72,11 +82,12 @@
     context.out << CliHelp();
     return CliExit::kOk;
   }
-  const std::string text = ReadFile(arguments.file, context.in, &findings);
+  const std::string text = ReadInputFile(arguments.file, context.in, &findings);
   if (!findings.empty()) {
     context.err << findings.ToString() << "\n";
     return CliExit::kUsage;
   }
+  if (arguments.command == CliCommand::kCheck) return RunCheck(context, arguments, text);
   OperatorClient client(context.base, arguments.nodes);
   const CliSession session{context, arguments, client, text};
   for (const CommandEntry& it : kCommands) {
--- a/src/camphorhoist/cli_args.cc
+++ b/src/camphorhoist/cli_args.cc
@@ -12,6 +12,7 @@
 
 #include "camphorhoist/operator_api.h"
 #include "libplatform/object_key.h"
+#include "platform/config_codec.h"
 
 namespace camphorhoist {
 
@@ -30,6 +31,9 @@
   kNode,
   kOutput,
   kTimeoutMs,
+  kAgainst,
+  kStore,
+  kJson,
   kHelp
 };
 
@@ -46,6 +50,11 @@
      "IP:PORT[,...]"},
     {"output", 0, POPT_ARG_STRING, nullptr, kOutput, "human (default) or json", "FORMAT"},
     {"timeout-ms", 0, POPT_ARG_STRING, nullptr, kTimeoutMs, "time limit, default 10000", "MS"},
+    {"against", 0, POPT_ARG_STRING, nullptr, kAgainst,
+     "configuration to compare with: a file, or a version of the store such as r12", "VERSION"},
+    {"store", 0, POPT_ARG_STRING, nullptr, kStore, "store that has the version of --against",
+     "IP:PORT"},
+    {"json", 0, POPT_ARG_NONE, nullptr, kJson, "the same as --output json, for check", nullptr},
     {"help", 'h', POPT_ARG_NONE, nullptr, kHelp, "print this text", nullptr},
     POPT_TABLEEND};
 
@@ -59,11 +68,13 @@
   dump                print the state of the node
   outcome ID          print the outcome of an earlier change set
   drain               start a graceful shutdown of the node
+  check FILE [--against VERSION] [--store IP:PORT] [--json]
+                      check a configuration of the mesh before it is sent; needs no node
 
 Exit codes:
   0  success
   1  the input has findings, the change was rejected, nothing was found, or the file differs
-  2  the command line is invalid
+  2  the command line is invalid, a file cannot be read, or `check` has nothing to compare with
   3  conflict: a record has changed since it was read; nothing was applied
   4  the outcome is unknown; run the same command with the same --id, or `outcome ID`
   5  no node was available; nothing was applied
@@ -78,16 +89,19 @@
   size_t max_operands;
   bool accepts_file;
   bool accepts_change_options;
+  /// Reads a configuration of the mesh instead of calling a node.
+  bool checks_config;
 };
 
 constexpr CommandSpec kCommands[] = {
-    {"apply", CliCommand::kApply, 0, 0, true, true},
-    {"get", CliCommand::kGet, 0, 1, false, false},
-    {"diff", CliCommand::kDiff, 0, 0, true, false},
-    {"status", CliCommand::kStatus, 0, 0, false, false},
-    {"dump", CliCommand::kDump, 0, 0, false, false},
-    {"outcome", CliCommand::kOutcome, 1, 1, false, false},
-    {"drain", CliCommand::kDrain, 0, 0, false, false},
+    {"apply", CliCommand::kApply, 0, 0, true, true, false},
+    {"get", CliCommand::kGet, 0, 1, false, false, false},
+    {"diff", CliCommand::kDiff, 0, 0, true, false, false},
+    {"status", CliCommand::kStatus, 0, 0, false, false, false},
+    {"dump", CliCommand::kDump, 0, 0, false, false, false},
+    {"outcome", CliCommand::kOutcome, 1, 1, false, false, false},
+    {"drain", CliCommand::kDrain, 0, 0, false, false, false},
+    {"check", CliCommand::kCheck, 1, 1, false, false, true},
 };
 
 struct PoptDeleter {
@@ -128,7 +142,7 @@
     for (; rest != nullptr && *rest != nullptr; ++rest) operands.emplace_back(*rest);
     if (result_.help) return result_;
     ReadCommand(operands);
-    ReadNodes();
+    if (result_.command != CliCommand::kCheck) ReadNodes();
     return result_;
   }
 
@@ -166,12 +180,22 @@
         return AddChangeOption("--allow-newer-schema");
       case kNode:
         node_option_ = value;
+        node_options_.emplace_back("--node");
         return;
       case kOutput:
         return SetOutput(value);
       case kTimeoutMs:
         result_.timeout =
             std::chrono::milliseconds(ReadNumber("--timeout-ms", value, kMaxTimeoutMs));
+        node_options_.emplace_back("--timeout-ms");
+        return;
+      case kAgainst:
+        return SetAgainst(value);
+      case kStore:
+        return SetStore(value);
+      case kJson:
+        json_option_ = true;
+        check_options_.emplace_back("--json");
         return;
       default:
         result_.help = true;
@@ -200,6 +224,21 @@
     findings_->Add(place, "must be 1-128 characters of [A-Za-z0-9._:-]");
   }
 
+  void SetAgainst(const std::string& value) {
+    check_options_.emplace_back("--against");
+    if (value.empty()) findings_->Add("--against", "must not be empty");
+    if (!result_.against.empty()) findings_->Add("--against", "is given twice");
+    result_.against = value;
+  }
+
+  void SetStore(const std::string& value) {
+    check_options_.emplace_back("--store");
+    if (result_.store) findings_->Add("--store", "is given twice");
+    result_.store = NetAddress::Parse(value);
+    if (result_.store && result_.store->port() > 0) return;
+    findings_->Add("--store", "must be IP:PORT, is \"" + value + "\"");
+  }
+
   uint64_t ReadNumber(const char* place, const std::string& value, uint64_t max) {
     const auto number = ParseUnsigned(value);
     if (number && *number > 0 && *number <= max) return *number;
@@ -234,6 +273,10 @@
     if (!spec.accepts_change_options) {
       for (const std::string& it : change_options_) findings_->Add(it, not_accepted);
     }
+    // The commands that call nodes do not check configurations, and the other way round.
+    for (const std::string& it : spec.checks_config ? node_options_ : check_options_) {
+      findings_->Add(it, not_accepted);
+    }
     if (!spec.accepts_file || !result_.file.empty()) return;
     // A change set may consist of removals only.
     const bool has_removal = std::find(change_options_.begin(), change_options_.end(),
@@ -244,12 +287,15 @@
 
   void CheckOperands(const CommandSpec& spec, const std::vector<std::string>& operands) {
     const size_t n = operands.size() - 1;
-    if (n < spec.min_operands) return findings_->Add(spec.name, "needs an ID");
+    if (n < spec.min_operands) {
+      return findings_->Add(spec.name, spec.checks_config ? "needs a FILE" : "needs an ID");
+    }
     for (size_t i = spec.max_operands + 1; i < operands.size(); ++i) {
       findings_->Add(operands[i], "is an unexpected argument");
     }
     if (n == 0 || spec.max_operands == 0) return;
     if (spec.command == CliCommand::kOutcome) return SetId(operands[1], "ID");
+    if (spec.checks_config) return SetConfigFile(operands[1]);
     SetSelection(operands[1]);
   }
 
@@ -264,6 +310,24 @@
     }
   }
 
+  void SetConfigFile(const std::string& path) {
+    if (path.empty()) findings_->Add("check", "needs a FILE");
+    result_.file = path;
+    result_.json = result_.json || json_option_;
+    if (path == "-" && result_.against == "-") {
+      findings_->Add("--against", "must not be standard input if the file is");
+    }
+    const bool from_store = platform::ParseConfigVersion(result_.against).has_value();
+    const bool has_store =
+        std::find(check_options_.begin(), check_options_.end(), "--store") != check_options_.end();
+    if (from_store && !has_store) {
+      findings_->Add("--store", "is required by --against " + result_.against);
+    }
+    if (!from_store && has_store) {
+      findings_->Add("--store", "is only accepted if --against is the name of a version");
+    }
+  }
+
   void ReadNodes() {
     const bool from_option = node_option_.has_value();
     const char* place = from_option ? "--node" : "CAMPHORHOIST_NODE";
@@ -288,6 +352,11 @@
   CliArguments result_;
   std::optional<std::string> node_option_;
   std::vector<std::string> change_options_;
+  /// Given options about nodes, which `check` does not accept.
+  std::vector<std::string> node_options_;
+  /// Given options that only `check` accepts.
+  std::vector<std::string> check_options_;
+  bool json_option_ = false;
 };
 
 }  // namespace
--- a/src/camphorhoist/cli_args.h
+++ b/src/camphorhoist/cli_args.h
@@ -2,6 +2,7 @@
 #define CAMPHORHOIST_CAMPHORHOIST_CLI_ARGS_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -11,7 +12,7 @@
 
 namespace camphorhoist {
 
-enum class CliCommand { kNone, kApply, kGet, kDiff, kStatus, kDump, kOutcome, kDrain };
+enum class CliCommand { kNone, kApply, kGet, kDiff, kStatus, kDump, kOutcome, kDrain, kCheck };
 
 /// Kind and name of a record. When used as a selection, an empty field matches everything.
 struct RecordName {
@@ -34,8 +35,12 @@
   std::vector<NetAddress> nodes;
   std::chrono::milliseconds timeout{10000};
   bool json = false;
-  /// Path of the records file, "-" for standard input.
+  /// Path of the records file, or of the configuration that `check` reads; "-" for standard input.
   std::string file;
+  /// Version that `check` compares the file with: the path of a file, or the name of a version that
+  /// is read from `store`. Empty: none.
+  std::string against;
+  std::optional<NetAddress> store;
   std::vector<RecordName> remove;
   /// Change set id; a random one is generated if empty.
   std::string id;
--- a/src/camphorhoist/cli_test.cc
+++ b/src/camphorhoist/cli_test.cc
@@ -115,12 +115,16 @@
         {"get", "-f", "-"},
         {"diff", "-f", "-", "--remove", "service/a"},
         {"status", "--id", "x"},
+        {"status", "--json"},
+        {"apply", "-f", "-", "--against", "r1"},
+        {"diff", "-f", "-", "--store", "127.0.0.1:1"},
         {"status", "--wait-seconds", "3"},
         {"dump", "--allow-newer-schema"},
         {"apply", "-f", "-", "-f", "-"},
         {"apply", "-f"},
         {"apply", "-f", ""},
         {"apply", "-f", "/nonexistent/file"},
+        {"apply", "-f", "/"},
         {"status", "--timeout-ms", "-5"},
         {"status", "--timeout-ms", "600001"},
         {"status", "--node", ""},
@@ -140,7 +144,7 @@
   void HelpListsCommandsAndExitCodes() {
     Cli cli;
     CPPUNIT_ASSERT_EQUAL(0, cli.Run({"--help"}));
-    for (const char* it : {"apply", "get", "diff", "status", "dump", "outcome", "drain",
+    for (const char* it : {"apply", "get", "diff", "status", "dump", "outcome", "drain", "check",
                            "--wait-seconds", "Exit codes", "  6  "}) {
       CPPUNIT_ASSERT_MESSAGE(it, cli.out.find(it) != std::string::npos);
     }
