Link pacer: large messages get what short ones leave of the link

Calls that other servers made to this service timed out as well, so that those servers failed a quarter of their calls.

Cause: large responses were paced at 0.9 of the link rate whatever else was sent. A trace of the bytes of the VMs (trial) shows 130 to 270 kB/s of refusals, offers and status messages, where 0.9 leaves 125 kB/s. The excess queued in the sockets, connections were closed as silent (66 times in 16 s by two of the VMs), and callers that returned caused more refusals, which kept the link full.

Short messages now take their time from the rate of the large ones, and the time to deliver a response is predicted with the rate that is left. LinkPacerTest::ShortMessagesReduceTheRateOfLargeOnes fails without the change (mutation of OnShortMessage).

--- a/src/libsidecar/callers/caller_connection.cc
+++ b/src/libsidecar/callers/caller_connection.cc
@@ -277,8 +277,10 @@
       AppendResponse(response.status, response.headers, response.body, next->closes, bytes.get());
       return SendPaced(std::move(bytes), next->closes);
     }
-    AppendResponse(response.status, response.headers, response.body, next->closes,
-                   bufferevent_get_output(bufev_.get()));
+    evbuffer* output = bufferevent_get_output(bufev_.get());
+    const size_t unsent = evbuffer_get_length(output);
+    AppendResponse(response.status, response.headers, response.body, next->closes, output);
+    owner_->pacer()->OnShortMessage(evbuffer_get_length(output) - unsent);
     OnResponseSent(next->closes);
   }
 }
--- a/src/libsidecar/peers/frame_stream.cc
+++ b/src/libsidecar/peers/frame_stream.cc
@@ -36,7 +36,10 @@
 
 void FrameStream::Send(PeerMessage message) {
   if (bufev_ == nullptr) return;
+  const bool paced = std::holds_alternative<ResultPart>(message);
+  const size_t unsent = unsent_bytes();
   AppendFrame(std::move(message), bufferevent_get_output(bufev_.get()), encoding_);
+  if (!paced && handlers_.on_sent) handlers_.on_sent(unsent_bytes() - unsent);
 }
 
 size_t FrameStream::unsent_bytes() const {
--- a/src/libsidecar/peers/frame_stream.h
+++ b/src/libsidecar/peers/frame_stream.h
@@ -28,6 +28,8 @@
     /// Reading has been paused, since the peer does not read what was sent, or goes on. May be
     /// empty.
     std::function<void(bool paused)> on_paused = nullptr;
+    /// A frame of `bytes` is sent, unless it is part of a paced result. May be empty.
+    std::function<void(size_t bytes)> on_sent = nullptr;
   };
   /// Data that stays unacknowledged for longer means that the peer or the path has failed.
   static constexpr std::chrono::milliseconds kUnackedTimeout{1000};
--- a/src/libsidecar/peers/link_pacer.cc
+++ b/src/libsidecar/peers/link_pacer.cc
@@ -1,6 +1,7 @@
 #include "libsidecar/peers/link_pacer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace camphorhoist {
@@ -42,6 +43,30 @@
   }
 }
 
+void LinkPacer::OnShortMessage(size_t bytes) {
+  if (!enabled()) return;
+  const auto now = Clock::now();
+  const auto size = static_cast<double>(bytes + kPacketOverheadBytes);
+  short_bytes_ = RecentShortBytes(now) + size;
+  short_bytes_at_ = now;
+  const std::chrono::duration<double> time(size / rate());
+  const auto free_at = std::max(link_free_at_, now - Clock::duration(kPartTime)) +
+                       std::chrono::duration_cast<Clock::duration>(time);
+  link_free_at_ =
+      std::max(link_free_at_, std::min(free_at, now + Clock::duration(kMaxShortBacklog)));
+}
+
+double LinkPacer::RecentShortBytes(Clock::time_point now) const {
+  const std::chrono::duration<double> passed = now - short_bytes_at_;
+  return short_bytes_ * std::exp(-passed / std::chrono::duration<double>(kShortRateTime));
+}
+
+double LinkPacer::large_message_rate() const {
+  const double short_rate =
+      RecentShortBytes(Clock::now()) / std::chrono::duration<double>(kShortRateTime).count();
+  return std::max(rate() - short_rate, kMinLargeMessageShare * rate());
+}
+
 size_t LinkPacer::backlog() const {
   size_t bytes = 0;
   for (const Message& it : queue_) bytes += evbuffer_get_length(it.bytes.get());
--- a/src/libsidecar/peers/link_pacer_test.cc
+++ b/src/libsidecar/peers/link_pacer_test.cc
@@ -29,6 +29,8 @@
 class LinkPacerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LinkPacerTest);
   CPPUNIT_TEST(SendsPartsBelowLinkRate);
+  CPPUNIT_TEST(ShortMessagesReduceTheRateOfLargeOnes);
+  CPPUNIT_TEST(ShortMessagesDoNotStopLargeOnes);
   CPPUNIT_TEST(DroppedMessageDoesNotDelayNext);
   CPPUNIT_TEST(ReassemblesBodyPartsInterleavedWithOtherMessages);
   CPPUNIT_TEST_SUITE_END();
@@ -64,6 +66,46 @@
     CPPUNIT_ASSERT(pacer.empty());
   }
 
+  // Guards against a saturated link although large messages are paced: many refusals and other
+  // short messages need more than the share that is left to them.
+  void ShortMessagesReduceTheRateOfLargeOnes() {
+    constexpr size_t kLinkBytesPerSecond = 1 << 20;
+    constexpr size_t kSize = 100000;
+    constexpr size_t kShortBytes = 2000;
+    const EventBasePtr base = NewPreciseEventBase();
+    LinkPacer pacer(base.get(), kLinkBytesPerSecond);
+    size_t sent = 0;
+    size_t last_part = 0;
+    bool complete = false;
+    const auto start = steady_clock::now();
+    Timer short_messages(base.get(), [&] {
+      if (complete) return;
+      pacer.OnShortMessage(kShortBytes);
+      sent += kShortBytes;
+    });
+    short_messages.StartPeriodic(milliseconds(5));
+    pacer.Send(Bytes(kSize), [&](evbuffer* part, bool last) {
+      last_part = evbuffer_get_length(part);
+      sent += last_part;
+      complete = last;
+    });
+    CPPUNIT_ASSERT(PumpUntil(base.get(), [&] { return complete; }));
+    const std::chrono::duration<double> least(static_cast<double>(sent - last_part) / pacer.rate());
+    CPPUNIT_ASSERT(steady_clock::now() - start >= least - LinkPacer::kPartTime);
+  }
+
+  // Guards against large responses that stop, and time out, during a burst of short messages.
+  void ShortMessagesDoNotStopLargeOnes() {
+    const EventBasePtr base = NewPreciseEventBase();
+    LinkPacer pacer(base.get(), 1 << 20);
+    for (int i = 0; i < 100; ++i) pacer.OnShortMessage(1 << 20);
+    bool complete = false;
+    const auto start = steady_clock::now();
+    pacer.Send(Bytes(5000), [&](evbuffer*, bool last) { complete = last; });
+    CPPUNIT_ASSERT(PumpUntil(base.get(), [&] { return complete; }));
+    CPPUNIT_ASSERT(steady_clock::now() - start < milliseconds(1000));
+  }
+
   // Guards against a link that stays busy with a message whose connection has been closed.
   void DroppedMessageDoesNotDelayNext() {
     const EventBasePtr base = NewPreciseEventBase();
--- a/src/libsidecar/peers/peer_directory.cc
+++ b/src/libsidecar/peers/peer_directory.cc
@@ -129,6 +129,7 @@
   handlers.on_message = [this, peer](PeerMessage message) {
     handlers_.on_message(peer, std::move(message));
   };
+  handlers.on_sent = handlers_.on_sent;
   if (bulk) {
     handlers.on_up = [](const PeerHello&) {};
     handlers.on_down = [this, peer](bool, const std::string&) { handlers_.on_down(peer, false); };
--- a/src/libsidecar/peers/peer_directory.h
+++ b/src/libsidecar/peers/peer_directory.h
@@ -75,6 +75,8 @@
     std::function<void(Peer*, bool terminated)> on_down;
     /// A hello has arrived, before the peer's upstream may be used.
     std::function<void(const PeerHello&)> on_hello;
+    /// A frame of `bytes` is sent over a connection to another sidecar. May be empty.
+    std::function<void(size_t bytes)> on_sent = nullptr;
   };
 
   PeerDirectory(event_base* base, Handlers handlers);
--- a/src/libsidecar/peers/peer_link.cc
+++ b/src/libsidecar/peers/peer_link.cc
@@ -29,6 +29,7 @@
   };
   handlers.on_message = [this](PeerMessage message) { OnMessage(std::move(message)); };
   handlers.on_closed = [this](const std::string& reason) { OnClosed(reason); };
+  handlers.on_sent = handlers_.on_sent;
   stream_ = std::make_unique<FrameStream>(base_, address_, kConnectTimeout, std::move(handlers));
 }
 
--- a/src/libsidecar/peers/peer_link.h
+++ b/src/libsidecar/peers/peer_link.h
@@ -27,6 +27,8 @@
     std::function<void(PeerMessage)> on_message;
     /// `refused`: the VM responds, but no process listens at the address.
     std::function<void(bool refused, const std::string& reason)> on_down;
+    /// A frame of `bytes` is sent. May be empty.
+    std::function<void(size_t bytes)> on_sent = nullptr;
   };
 
   static constexpr std::chrono::milliseconds kConnectTimeout{500};
--- a/src/libsidecar/peers/peer_listener.cc
+++ b/src/libsidecar/peers/peer_listener.cc
@@ -60,6 +60,7 @@
   };
   handlers.on_paused = [this, connection_id](bool paused) { OnPaused(connection_id, paused); };
   handlers.on_closed = [this, connection_id](const std::string&) { OnClosed(connection_id); };
+  handlers.on_sent = [this](size_t bytes) { pacer_->OnShortMessage(bytes); };
   Connection& connection = connections_[connection_id];
   connection.budget_id = *budget_id;
   connection.stream = std::make_unique<FrameStream>(base_, fd, std::move(handlers));
--- a/src/libsidecar/servers/local_upstream.cc
+++ b/src/libsidecar/servers/local_upstream.cc
@@ -127,18 +127,19 @@
   on_status_changed_();
 }
 
-void LocalUpstream::SetEgress(double bytes_per_second, std::function<size_t()> backlog) {
-  egress_bytes_per_second_ = bytes_per_second;
+void LocalUpstream::SetEgress(std::function<double()> bytes_per_second,
+                              std::function<size_t()> backlog) {
+  egress_bytes_per_second_ = std::move(bytes_per_second);
   egress_backlog_ = std::move(backlog);
 }
 
 ProxyDuration LocalUpstream::TransferTime(double bytes) const {
   return duration_cast<ProxyDuration>(
-      std::chrono::duration<double>(bytes / egress_bytes_per_second_));
+      std::chrono::duration<double>(bytes / egress_bytes_per_second_()));
 }
 
 ProxyDuration LocalUpstream::DeliveryWait() const {
-  if (egress_bytes_per_second_ == 0) return ProxyDuration(0);
+  if (!egress_bytes_per_second_) return ProxyDuration(0);
   return TransferTime(static_cast<double>(egress_backlog_()) +
                       static_cast<double>(bulk_active_) * mean_bulk_bytes_);
 }
@@ -223,7 +224,7 @@
     return Refuse(id, ResultReason::kNoUpstream);
   }
   ids_by_queue_key_[tracked.queue_key] = id;
-  tracked.bulk = tracked.offer.bulk && connection_id != 0 && egress_bytes_per_second_ != 0;
+  tracked.bulk = tracked.offer.bulk && connection_id != 0 && egress_bytes_per_second_ != nullptr;
   if (tracked.bulk) {
     call.delivery_wait = DeliveryWait();
     call.delivery_time = TransferTime(mean_bulk_bytes_);
--- a/src/libsidecar/servers/local_upstream.h
+++ b/src/libsidecar/servers/local_upstream.h
@@ -67,10 +67,10 @@
   LocalUpstream(event_base* base, const SidecarSettings& settings,
                 std::function<void()> on_status_changed);
 
-  /// Sets the rate at which large responses are sent; `backlog` returns how many of their bytes are
-  /// queued for the link. From then on, the admission of calls also considers the time to deliver
-  /// the response.
-  void SetEgress(double bytes_per_second, std::function<size_t()> backlog);
+  /// `bytes_per_second` returns the rate at which large responses are sent, greater than 0;
+  /// `backlog` returns how many of their bytes are queued for the link. From then on, the admission
+  /// of calls also considers the time to deliver the response.
+  void SetEgress(std::function<double()> bytes_per_second, std::function<size_t()> backlog);
 
   void SetObserver(Observer observer) { observer_ = std::move(observer); }
 
@@ -176,7 +176,8 @@
   Observer observer_;
   Timer expiry_timer_;
   Timer queue_timer_;
-  double egress_bytes_per_second_ = 0;
+  /// Empty if large responses need not wait for the link.
+  std::function<double()> egress_bytes_per_second_;
   std::function<size_t()> egress_backlog_;
   /// Number of large responses expected from queued and running calls, and their mean size.
   size_t bulk_active_ = 0;
--- a/src/libsidecar/sidecar.cc
+++ b/src/libsidecar/sidecar.cc
@@ -55,7 +55,8 @@
                           permits_.OnPeerDown(peer);
                           dispatcher_.OnPeerDown(peer, terminated);
                         },
-                        [this](const PeerHello& hello) { rollouts_.OnRecords(hello.rollouts); }}),
+                        [this](const PeerHello& hello) { rollouts_.OnRecords(hello.rollouts); },
+                        [this](size_t bytes) { pacer_.OnShortMessage(bytes); }}),
       permits_(base, settings_.node, &directory_, &metrics_,
                [this](uint64_t ticket, const OrganisationLimiter::Result& result) {
                  dispatcher_.OnPermit(ticket, result);
@@ -120,7 +121,8 @@
       election_timer_(base, [this] { ElectStoreWatchers(); }),
       stop_timer_(base, [this] { ContinueStop(); }) {
   if (pacer_.enabled()) {
-    local_.SetEgress(pacer_.rate(), [this] { return pacer_.backlog(); });
+    local_.SetEgress([this] { return pacer_.large_message_rate(); },
+                     [this] { return pacer_.backlog(); });
   }
   directory_.AddSelf(settings_.node, settings_.data_centre);
 }
