Call placement: no second offer to a server that cannot complete the call

Callers saw: requests for large responses behind congested links were refused after 377 ms (median of 611 refusals in 8 s), with five offers to four servers. Cause: a server that states that a call cannot meet its objective or deadline there, whatever wait the sender accepts, was treated as a busy one, and offered the call once more with an unlimited wait. Each such offer crosses the congested link.

Such servers get no further offer of the call. CallPlacementTest::HopelessServersAreNotOfferedTheCallAgain needs the new function and could not fail before; the replays of LoadReplayTest pass unchanged.

--- a/include/camphorhoist/call_placement.h
+++ b/include/camphorhoist/call_placement.h
@@ -55,13 +55,17 @@
 
   /// Records that `node` rejected the offer because the call would have waited for `wait`.
   void OnBusy(const std::string& node, ProxyDuration wait);
+  /// Records that `node` rejected the offer because the call cannot complete there in time,
+  /// whatever wait its sender accepts. It is not offered to that server again. `wait`: as for
+  /// `OnBusy`.
+  void OnHopeless(const std::string& node, ProxyDuration wait);
   /// Records that the server at `node` does not accept the call or failed it.
   void OnFailed(const std::string& node);
 
   /// Returns whether there is a server that has not failed the call.
   bool HasAlternative(const ServerCandidates& candidates) const;
   /// Returns whether a server rejected the call because of its load.
-  bool overloaded() const { return !busy_.empty(); }
+  bool overloaded() const { return !busy_.empty() || !hopeless_.empty(); }
   int offers() const { return offers_; }
   /// Shortest wait among the rejected offers.
   std::optional<ProxyDuration> shortest_wait() const { return shortest_wait_; }
@@ -77,6 +81,7 @@
   bool unlimited_offer_made_ = false;
   /// Nodes that rejected the call because of their load.
   std::set<std::string> busy_;
+  std::set<std::string> hopeless_;
   std::set<std::string> failed_;
   std::optional<ProxyDuration> shortest_wait_;
 };
--- a/src/libproxy/placement/call_placement.cc
+++ b/src/libproxy/placement/call_placement.cc
@@ -8,8 +8,9 @@
                                             bool include_busy) const {
   std::vector<size_t> eligible;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    if (failed_.count(candidates[i]->node) != 0) continue;
-    if (!include_busy && busy_.count(candidates[i]->node) != 0) continue;
+    const std::string& node = candidates[i]->node;
+    if (failed_.count(node) != 0 || hopeless_.count(node) != 0) continue;
+    if (!include_busy && busy_.count(node) != 0) continue;
     eligible.push_back(i);
   }
   return eligible;
@@ -56,6 +57,11 @@
   shortest_wait_ = std::min(shortest_wait_.value_or(wait), wait);
 }
 
+void CallPlacement::OnHopeless(const std::string& node, ProxyDuration wait) {
+  hopeless_.insert(node);
+  shortest_wait_ = std::min(shortest_wait_.value_or(wait), wait);
+}
+
 void CallPlacement::OnFailed(const std::string& node) {
   failed_.insert(node);
   unlimited_offer_made_ = false;
--- a/src/libproxy/placement/call_placement_test.cc
+++ b/src/libproxy/placement/call_placement_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(PrefersIdleServers);
   CPPUNIT_TEST(PrefersTheOwnZoneForLargeResponses);
   CPPUNIT_TEST(TriesAllBusyServersThenAcceptsAnyWait);
+  CPPUNIT_TEST(HopelessServersAreNotOfferedTheCallAgain);
   CPPUNIT_TEST(FirstOffersLookForAFreeSlot);
   CPPUNIT_TEST(LargeRequestsAreOfferedLessOften);
   CPPUNIT_TEST(NeverRetriesAFailedServer);
@@ -109,6 +110,31 @@
     CPPUNIT_ASSERT(placement.overloaded());
   }
 
+  // Guards against calls that are offered again to a server which has stated that they cannot
+  // complete there in time: each offer delays the refusal and loads the server's link.
+  void HopelessServersAreNotOfferedTheCallAgain() {
+    std::mt19937_64 rng(1);
+    const std::vector<ServerCandidate> candidates = {
+        Candidate("0", "a", 12), Candidate("1", "a", 12), Candidate("2", "a", 12)};
+    CallPlacement placement;
+    const auto first = placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng);
+    placement.OnHopeless(candidates[first->index].node, milliseconds(300));
+    for (int i = 0; i < 2; ++i) {
+      const auto offer = placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng);
+      CPPUNIT_ASSERT(offer.has_value());
+      CPPUNIT_ASSERT(offer->index != first->index);
+      placement.OnBusy(candidates[offer->index].node, milliseconds(400));
+    }
+    const auto last = placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng);
+    CPPUNIT_ASSERT(last.has_value());
+    CPPUNIT_ASSERT(last->index != first->index);
+    CPPUNIT_ASSERT(last->max_wait == CallPlacement::kUnlimitedWait);
+    placement.OnHopeless(candidates[last->index].node, milliseconds(400));
+    CPPUNIT_ASSERT(!placement.NextOffer(kNow, "a", {1500}, Pointers(candidates), &rng).has_value());
+    CPPUNIT_ASSERT(placement.overloaded());
+    CPPUNIT_ASSERT(placement.shortest_wait() == milliseconds(300));
+  }
+
   // Guards against a call that queues at one server while others are idle, although their last
   // reports show full queues.
   void FirstOffersLookForAFreeSlot() {
--- a/src/libproxy/testing/load_replay.cc
+++ b/src/libproxy/testing/load_replay.cc
@@ -364,19 +364,25 @@
         queued_attempts_[call.key] = attempt;
         return DispatchQueued(server);
       case ServerQueue::Verdict::kBusy:
+        return RejectOffer(attempt, server, false);
       case ServerQueue::Verdict::kWouldMissDeadline:
-        return RejectOffer(attempt, server);
+        return RejectOffer(attempt, server, true);
     }
   }
 
-  void RejectOffer(const std::shared_ptr<Attempt>& attempt, size_t server) {
+  void RejectOffer(const std::shared_ptr<Attempt>& attempt, size_t server, bool hopeless) {
     const ServerLoad load = queues_[server].load(At(loop_.now()));
     if (IsRemote(attempt->sender, server)) remote_bytes_ += kRejectionBytes;
     loop_.Schedule(loop_.now() + NetworkDelayMs(attempt->sender, server),
-                   [this, attempt, server, load] {
+                   [this, attempt, server, load, hopeless] {
                      --in_flight_[attempt->sender][server];
                      ReportLoad(attempt->sender, server, load);
-                     attempt->placement.OnBusy(std::to_string(server), load.expected_wait);
+                     const std::string node = std::to_string(server);
+                     if (hopeless) {
+                       attempt->placement.OnHopeless(node, load.expected_wait);
+                     } else {
+                       attempt->placement.OnBusy(node, load.expected_wait);
+                     }
                      SendOffer(attempt);
                    });
   }
@@ -508,7 +514,7 @@
       if (dequeued.start) {
         RunCall(attempt, server, dequeued.key);
       } else {
-        RejectOffer(attempt, server);
+        RejectOffer(attempt, server, true);
       }
     }
     const auto expiry = queue.NextExpiry();
--- a/src/libsidecar/dispatcher.cc
+++ b/src/libsidecar/dispatcher.cc
@@ -360,10 +360,14 @@
 
 void Dispatcher::OnNotRun(Call* call, Peer* peer, const CallResult& result) {
   metrics_->Count("offers_declined_total", ToString(result.reason));
-  if (result.reason == ResultReason::kBusy || result.reason == ResultReason::kHopeless) {
+  if (result.reason == ResultReason::kBusy) {
     call->placement.OnBusy(peer->node, result.load.expected_wait);
     return OfferToNextServer(call);
   }
+  if (result.reason == ResultReason::kHopeless) {
+    call->placement.OnHopeless(peer->node, result.load.expected_wait);
+    return OfferToNextServer(call);
+  }
   call->placement.OnFailed(peer->node);
   if (!result.reached_upstream) {
     // The peer's next status message reports when it accepts calls again. A stopping peer still
