Server queue: the wait for the link leaves time for retries

Load: more large responses than the link of a server's VM can send. New calls were admitted up to their whole latency objective, so that the link's queue always exceeded what was left to the retry of a rejected call: such a call was refused a second time, whenever it came.

A call is now admitted only while the wait for the link takes at most 0.6 of its objective. The link stays as busy. ServerQueueTest::LinkHasTimeForRetries fails without the change.

--- a/include/camphorhoist/server_queue.h
+++ b/include/camphorhoist/server_queue.h
@@ -122,6 +122,10 @@
   /// meet theirs take at most this share of the time left to start it. It is admitted only while
   /// the wait for the network link takes at most this share of the time left to its deadline.
   static constexpr double kMaxLateWaitShare = 0.1;
+  /// A call is admitted only while its response waits for the network link for at most this share
+  /// of the latency objective. The link is as busy as with longer waits, and the retry of a
+  /// rejected call, whose objective counts from the first attempt, still has time for such a wait.
+  static constexpr double kMaxLinkWaitShare = 0.6;
 
   enum class Verdict : uint8_t {
     kStart,
--- a/src/libproxy/admission/server_queue.cc
+++ b/src/libproxy/admission/server_queue.cc
@@ -64,7 +64,13 @@
   const double service_us = static_cast<double>(ExpectedServiceTime(call.profile).count());
   const ProxyTime earliest_done =
       now + FromMicros(kPredictionMargin * service_us) + call.delivery_time;
-  if (earliest_done <= call.objective) return earliest_done + call.delivery_wait > call.objective;
+  if (earliest_done <= call.objective) {
+    const ProxyDuration max_wait =
+        FromMicros(kMaxLinkWaitShare * static_cast<double>(call.objective_time.count()));
+    const bool leaves_no_time_for_retries =
+        call.objective_time.count() > 0 && call.delivery_wait > max_wait;
+    return leaves_no_time_for_retries || earliest_done + call.delivery_wait > call.objective;
+  }
   const double left_us =
       static_cast<double>(std::chrono::duration_cast<ProxyDuration>(call.deadline - now).count());
   return static_cast<double>(call.delivery_wait.count()) > kMaxLateWaitShare * left_us;
--- a/src/libproxy/admission/server_queue_test.cc
+++ b/src/libproxy/admission/server_queue_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(PredictionsScaleWithTheReportedSlowdown);
   CPPUNIT_TEST(LimitsTheWaitOfNestedCalls);
   CPPUNIT_TEST(RejectsCallsWhenTheLinkIsCongested);
+  CPPUNIT_TEST(LinkHasTimeForRetries);
   CPPUNIT_TEST(QueuesTimelyCallsWhenServiceTimesApproachTheObjective);
   CPPUNIT_TEST(CallsThatLostTheirObjectiveDoNotQueue);
   CPPUNIT_TEST(ComparesServiceTimesOfTheSameKindOfCalls);
@@ -169,6 +170,27 @@
                    ServerQueue::Verdict::kWouldMissDeadline);
   }
 
+  // Guards against new calls that fill the queue of a slow link up to their objective, so that the
+  // retries of rejected calls, which have less time left, are always rejected again.
+  void LinkHasTimeForRetries() {
+    ServerQueue queue(4);
+    PendingCall call = Call(1, 1000, 2000);
+    call.objective_time = milliseconds(1000);
+    call.delivery_time = milliseconds(80);
+    call.delivery_wait = milliseconds(700);
+    CPPUNIT_ASSERT(queue.Offer(kStart, call, milliseconds(0)).verdict ==
+                   ServerQueue::Verdict::kWouldMissDeadline);
+    call.delivery_wait = milliseconds(550);
+    CPPUNIT_ASSERT(queue.Offer(kStart, call, milliseconds(0)).verdict ==
+                   ServerQueue::Verdict::kStart);
+    PendingCall retry = Call(2, 740, 1740);
+    retry.objective_time = milliseconds(1000);
+    retry.delivery_time = milliseconds(80);
+    retry.delivery_wait = milliseconds(550);
+    CPPUNIT_ASSERT(queue.Offer(kStart, retry, milliseconds(0)).verdict ==
+                   ServerQueue::Verdict::kStart);
+  }
+
   // Guards against a server that becomes so slow that all its calls are aborted while its estimated
   // service time stays low. A call that is aborted early must not change the estimate.
   void EstimatesServiceTimesFromAbortedCalls() {
