--- a/src/testing/test_main.cc
+++ b/src/testing/test_main.cc
@@ -1,6 +1,7 @@
 // Shared main() of the CppUnit test programs. Arguments are names of tests (`Suite::Test`) or
-// suites, and only those run; `--list` prints the names of all tests and runs none. Suites in the
-// registry "unmet targets" run only if they are named.
+// suites, and only those run; `--list` prints the names of all tests and runs none. `--shard I/N`
+// runs each N-th test from the I-th on, counted from 0, so that a long program runs in several
+// processes at the same time. Suites in the registry "unmet targets" run only if they are named.
 
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
@@ -9,9 +10,11 @@
 #include <cppunit/TestResultCollector.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
+#include <charconv>
 #include <iostream>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "libbase/log.h"
 
@@ -31,6 +34,27 @@
   for (int i = 0; i < test.getChildTestCount(); ++i) PrintNames(*test.getChildTestAt(i));
 }
 
+/// Appends the test cases of `test` to `cases`.
+void AppendCases(CppUnit::Test* test, std::vector<CppUnit::Test*>* cases) {
+  if (test->getChildTestCount() == 0) cases->push_back(test);
+  for (int i = 0; i < test->getChildTestCount(); ++i) AppendCases(test->getChildTestAt(i), cases);
+}
+
+/// Runs the shard that `text` ("I/N") names. Returns false if it is malformed.
+bool RunShard(const std::string& text, CppUnit::Test* all, CppUnit::TestResult* controller) {
+  size_t first = 0;
+  size_t count = 0;
+  const char* const end = text.data() + text.size();
+  const auto slash = std::from_chars(text.data(), end, first);
+  if (slash.ec != std::errc() || slash.ptr == end || *slash.ptr != '/') return false;
+  const auto rest = std::from_chars(slash.ptr + 1, end, count);
+  if (rest.ec != std::errc() || rest.ptr != end || first >= count) return false;
+  std::vector<CppUnit::Test*> cases;
+  AppendCases(all, &cases);
+  for (size_t i = first; i < cases.size(); i += count) controller->runTest(cases[i]);
+  return true;
+}
+
 /// Returns the test or suite with this qualified or short name, or null.
 CppUnit::Test* FindTest(CppUnit::Test* test, const std::string& name) {
   const int component_count = test->getChildTestCount() == 0 ? 2 : 1;
@@ -59,8 +83,13 @@
   controller.addListener(&collector);
   controller.addListener(&progress);
 
+  const bool sharded = argc == 3 && std::string(argv[1]) == "--shard";
+  if (sharded && !RunShard(argv[2], all.get(), &controller)) {
+    std::cerr << "malformed shard " << argv[2] << '\n';
+    return 1;
+  }
   if (argc == 1) controller.runTest(all.get());
-  for (int i = 1; i < argc; ++i) {
+  for (int i = 1; i < argc && !sharded; ++i) {
     CppUnit::Test* test = FindTest(all.get(), argv[i]);
     if (test == nullptr) test = FindTest(unmet.get(), argv[i]);
     if (test == nullptr) {
