--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -286,7 +286,11 @@
                 self.process.send_signal(number)
             except ProcessLookupError:
                 return
-        await self.process.wait()
+        try:
+            await asyncio.wait_for(self.process.wait(), 3)
+        except asyncio.TimeoutError:
+            # The event loop has missed the end of the process.
+            pass
 
 
 class Response:
