--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import shutil
@@ -27,6 +28,14 @@
 }
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Makes the kernel end this process when the case is killed."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CannotRun(Exception):
     """The case could not be set up, so that nothing can be said about the rule."""
 
@@ -130,7 +139,10 @@
             if length:
                 body = await reader.readexactly(length)
             method, target, _ = head[0].split(" ")
-            status, value = await self.handle(method, target, body)
+            try:
+                status, value = await self.handle(method, target, body)
+            except ConnectionAbortedError:
+                break
             await asyncio.sleep(0.004)
             writer.write(encode(f"HTTP/1.1 {status} {REASONS[status]}",
                                 {"Content-Type": "application/json"}, json.dumps(value).encode()))
@@ -258,7 +270,8 @@
         environment["CAMPHORHOIST_CONFIG"] = self.path
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                program, *command[1:], cwd=REPOSITORY, env=environment, stdout=log, stderr=log)
+                program, *command[1:], cwd=REPOSITORY, env=environment, stdout=log, stderr=log,
+                preexec_fn=end_with_parent)
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -429,6 +442,8 @@
     sidecars = []
 
     async def guarded():
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(case(record, temporary, sidecars, trouble), 110)
         finally:
@@ -439,7 +454,8 @@
         held = asyncio.run(guarded())
         code = 0 if held else 1
         record.write("the rule held" if held else "the rule was broken")
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError,
+            KeyboardInterrupt) as error:
         record.write(f"could not run: {type(error).__name__} {error}")
         code = 2
     finally:
