--- a/review/10/case.py
+++ b/review/10/case.py
@@ -143,4 +143,4 @@
     return not after
 
 
-sys.exit(mesh.run_case(FOLDER, case))
+sys.exit(mesh.run_case(os.path.join(FOLDER, "record.txt"), case))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -230,4 +230,4 @@
     return most <= allowed
 
 
-sys.exit(mesh.run_case(FOLDER, case))
+sys.exit(mesh.run_case(os.path.join(FOLDER, "record.txt"), case))
--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -432,10 +432,11 @@
         await asyncio.sleep(self.work_s)
 
 
-def run_case(folder, case):
-    """Runs the coroutine `case(record, folder, trouble)`, which returns whether the rule held, and
-    returns the exit code: 0 held, 1 broken, 2 could not run."""
-    record = Record(os.path.join(folder, "record.txt"))
+def run_case(record_path, case):
+    """Runs the coroutine `case(record, folder, sidecars, trouble)`, which returns whether the rule
+    held, and returns the exit code: 0 held, 1 broken, 2 could not run. The record is written to
+    `record_path`; `folder` is a temporary one."""
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("with the disruption" if trouble else "without the disruption (TROUBLE=0)")
     temporary = tempfile.mkdtemp(prefix="review-")
