--- a/review/standins-2/mesh.py
+++ b/review/standins-2/mesh.py
@@ -55,6 +55,13 @@
         self.file.flush()
 
 
+def vm_address(number):
+    """Returns a loopback address that no other run uses at the same time, so that another process
+    can't take a port between the search for a free one and its use."""
+    process = os.getpid()
+    return f"127.{1 + (process >> 8) % 250}.{process % 256}.{10 + number}"
+
+
 def free_port(ip="127.0.0.1"):
     with socket.socket() as probe:
         probe.bind((ip, 0))
@@ -226,7 +233,7 @@
 
     def __init__(self, number, store, service, folder, zone="zone-a", link_mbps=1000.0,
                  memory_mb=260, ip=None):
-        self.ip = ip or f"127.0.0.{10 + number}"
+        self.ip = ip or vm_address(number)
         self.name = f"app_node-{zone}-{number}"
         self.process = None
         self.log = os.path.join(folder, f"{self.name}.log")
